Read the configuration again at SIGHUP and move the watch to the discovery it names

Checked: the logs show "draining" at the moment of the signal, so the virtual machine's own way with SIGHUP (run the shutdown hooks) ended them; no fault of the watch or of the drain was in it. At fault: Service.start never took the signal, PlatformConfig.value put PROXY_DISCOVERY before the file for good, and DiscoveryWatch.ask asked from the name table's version whoever had told it. Now the file decides at a reload; the watch at the address before goes on telling until the new one has told its whole list, for which it is asked without a version. An ask no longer replaces a watch under way, which cost discovery a second call after a move.

--- a/src/main/java/sandstack/Main.java
+++ b/src/main/java/sandstack/Main.java
@@ -5,6 +5,7 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.Map;
 import sandstack.benchlink.Link;
 import sandstack.benchlink.WireException;
 import sandstack.config.BadSettings;
@@ -20,7 +21,8 @@
 
     private static Service service() throws BadSettings {
         Logs.start();
-        return new Service(PlatformConfig.load(System.getenv()), new OwnFiles(Path.of("deploy")));
+        Map<String, String> env = System.getenv();
+        return new Service(PlatformConfig.load(env), env, new OwnFiles(Path.of("deploy")));
     }
 
     public static void main(String[] args) {
--- a/src/main/java/sandstack/Service.java
+++ b/src/main/java/sandstack/Service.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.logging.Logger;
 import sandstack.config.BadSettings;
@@ -19,6 +20,7 @@
 import sandstack.front.platform.PlatformFront;
 import sandstack.nametable.DiscoveryWatch;
 import sandstack.net.Loop;
+import sun.misc.Signal;
 
 /** One running relay: puts the parts together, and takes them down at the end. */
 public final class Service {
@@ -29,6 +31,7 @@
     private static final long LAST_WORDS = 150_000;
 
     private final PlatformConfig config;
+    private final Map<String, String> env;
     private final OwnFiles files;
     private final Loop loop = new Loop();
     private final Relay relay;
@@ -41,8 +44,10 @@
         int listen(String host, int port) throws IOException;
     }
 
-    public Service(PlatformConfig config, OwnFiles files) {
+    /** @param env where the configuration was read from, and is read from again */
+    public Service(PlatformConfig config, Map<String, String> env, OwnFiles files) {
         this.config = config;
+        this.env = env;
         this.files = files;
         this.relay = new Relay(config.settings(), config.seed(), loop::now, this::askDiscovery);
         this.watch = new DiscoveryWatch(loop, relay, config.discovery(), new NameTableJson(config.zones()));
@@ -67,6 +72,8 @@
     }
 
     private void start() throws BadSettings, IOException {
+        // the library's own way with SIGHUP is to end the process
+        Signal.handle(new Signal("HUP"), signal -> reload());
         JsonNode amqp = files.enabled("amqp.toml");
         JsonNode directory = files.enabled("directory.toml");
         TenantDirectory.Where where = directory == null ? null : TenantDirectory.Where.read(directory);
@@ -99,6 +106,20 @@
         LOG.info(config.name() + " listens for " + what + " at " + at);
     }
 
+    /**
+     * On SIGHUP: reads the configuration again and watches discovery where it says now. All else in it counts
+     * from the next start. One at a time, so that of several the one that read last also counts last.
+     */
+    private synchronized void reload() {
+        try {
+            Address discovery = PlatformConfig.reload(env).discovery();
+            loop.execute(() -> watch.moveTo(discovery));
+            LOG.info("configuration read again, discovery is " + discovery);
+        } catch (BadSettings e) {
+            LOG.warning("new configuration not taken, all stays as it is: " + e.getMessage());
+        }
+    }
+
     /** On SIGTERM: moves the clients away first. */
     private void stop() {
         loop.execute(() -> relay.drain(drained::countDown));
--- a/src/main/java/sandstack/config/PlatformConfig.java
+++ b/src/main/java/sandstack/config/PlatformConfig.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import sandstack.core.NameTable;
@@ -64,6 +65,16 @@
         }
     }
 
+    /**
+     * Reads the configuration once more, after its file was replaced: from then on the file says where discovery
+     * is, as the variable still has the address of the start.
+     */
+    public static PlatformConfig reload(Map<String, String> env) throws BadSettings {
+        Map<String, String> rest = new HashMap<>(env);
+        rest.remove("PROXY_DISCOVERY");
+        return load(rest);
+    }
+
     private static PlatformConfig read(JsonNode root, Map<String, String> env) throws BadSettings, IOException {
         JsonNode settings = root.path("settings");
         if (!settings.isObject()) {
--- a/src/main/java/sandstack/nametable/DiscoveryWatch.java
+++ b/src/main/java/sandstack/nametable/DiscoveryWatch.java
@@ -23,12 +23,13 @@
 import sandstack.config.NameTableJson;
 import sandstack.config.PlatformConfig.Address;
 import sandstack.core.Deadlines;
+import sandstack.core.NameTable;
 import sandstack.core.Relay;
 import sandstack.net.Loop;
 
 /**
  * The watch on discovery. Each ask makes one watch; a watch that ends, fails or falls silent is reported to
- * the relay, whose module decides when to ask again.
+ * the relay, whose module decides when to ask again. Discovery may move to another address meanwhile.
  */
 public final class DiscoveryWatch {
     private static final Logger LOG = Logger.getLogger("sandstack.discovery");
@@ -42,10 +43,14 @@
 
     private final Loop loop;
     private final Relay relay;
-    private final Address discovery;
     private final NameTableJson form;
     private final ObjectMapper json = new ObjectMapper();
+    private Address discovery;
     private Watch watch;
+    /** After a move, the watch at the address before; null once the new one has told its list. */
+    private Watch earlier;
+    /** Whether the name table's version is one of this address's: another's count on their own. */
+    private boolean versionKnownHere = true;
 
     public DiscoveryWatch(Loop loop, Relay relay, Address discovery, NameTableJson form) {
         this.loop = loop;
@@ -54,13 +59,39 @@
         this.form = form;
     }
 
-    /** Asks for what has changed since the list at hand; a watch that is under way is replaced. */
+    /** Asks for what has changed since the list at hand, unless a watch is under way. */
     public void ask() {
-        if (watch != null) {
+        if (watch == null) {
+            watch = new Watch();
+            watch.start();
+        }
+    }
+
+    /**
+     * Watches at another address from now on. The list stays as it is, and the watch before goes on telling
+     * for as long as it can, until the new one has told the whole list.
+     */
+    public void moveTo(Address other) {
+        if (other.equals(discovery)) {
+            return;
+        }
+        LOG.info("discovery moves from " + discovery + " to " + other);
+        discovery = other;
+        versionKnownHere = false;
+        if (earlier == null) {
+            earlier = watch;
+        } else if (watch != null) {
             watch.drop();
         }
-        watch = new Watch();
-        watch.start();
+        watch = null;
+        ask();
+    }
+
+    private void dropEarlier() {
+        if (earlier != null) {
+            earlier.drop();
+            earlier = null;
+        }
     }
 
     /** One call and what it brings. */
@@ -81,7 +112,7 @@
         @Override
         public void connected(Connection<?> made) {
             connection = made;
-            long from = relay.names().version();
+            long from = versionKnownHere ? relay.names().version() : -1;
             HttpRequestPacket request = HttpRequestPacket.builder().method(Method.GET).protocol(Protocol.HTTP_1_1)
                     .uri("/registry/instances").query("watch=1" + (from < 0 ? "" : "&from=" + from))
                     .header("Host", discovery.toString()).build();
@@ -136,7 +167,12 @@
 
         private void told(String text) {
             try {
-                relay.listed(form.news(json.readTree(text), false));
+                NameTable.News news = form.news(json.readTree(text), false);
+                if (this == watch) {
+                    versionKnownHere = true;
+                    dropEarlier();
+                }
+                relay.listed(news);
             } catch (JsonProcessingException | BadSettings e) {
                 LOG.warning("discovery told what cannot be read: " + text.substring(0, Math.min(80, text.length())));
                 fail("unreadable");
@@ -144,10 +180,16 @@
         }
 
         private void fail(String why) {
-            if (!over) {
-                drop();
+            if (over) {
+                return;
+            }
+            drop();
+            if (this == watch) {
                 watch = null;
                 relay.listFailed(why);
+            } else {
+                // the address before closes its watches: the new one is asked already
+                earlier = null;
             }
         }
 
--- a/src/test/java/sandstack/nametable/DiscoveryWatchTest.java
+++ b/src/test/java/sandstack/nametable/DiscoveryWatchTest.java
@@ -28,6 +28,7 @@
 
     private final Loop loop = new Loop();
     private ServerSocket listening;
+    private ServerSocket elsewhere;
     private Relay relay;
     private DiscoveryWatch watch;
     private Socket socket;
@@ -35,6 +36,7 @@
     @BeforeEach
     void start() throws Exception {
         listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        elsewhere = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         RequestClass cls = new RequestClass(300_000, 2_000_000, 1, Repeat.SAFE, Scope.ALL, 0, 0);
         Settings settings = new Settings(0, 1, 0, 1, List.of(cls), List.of(), 1, false, false, false, true, 1_000_000,
                 6, 100_000, false, 0, false, 0, false, 0, 0, 0, 300_000, 0.13, 0, 3, 0, -1);
@@ -49,12 +51,17 @@
     void stop() throws IOException {
         loop.stop();
         listening.close();
+        elsewhere.close();
     }
 
     /** Waits for the next ask; returns its request line. */
     private String ask() throws IOException {
-        listening.setSoTimeout(20_000);
-        socket = listening.accept();
+        return ask(listening);
+    }
+
+    private String ask(ServerSocket discovery) throws IOException {
+        discovery.setSoTimeout(20_000);
+        socket = discovery.accept();
         BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
                 StandardCharsets.US_ASCII));
         String line = in.readLine();
@@ -115,4 +122,52 @@
         say(HEAD + chunk(news(42, "ready") + "\n"));
         untilPhase(Phase.READY);
     }
+
+    private void moveTo(ServerSocket discovery) {
+        Address address = new Address("127.0.0.1", discovery.getLocalPort());
+        loop.execute(() -> watch.moveTo(address));
+    }
+
+    @Test
+    void movesToAnotherAddressAndKeepsTheListUntilThatOneHasToldIts() throws Exception {
+        ask();
+        say(HEAD + chunk(news(42, "ready") + "\n"));
+        untilPhase(Phase.READY);
+        Socket before = socket;
+        moveTo(elsewhere);
+        // its versions are its own: nothing is asked for from the old one's
+        assertThat(ask(elsewhere)).isEqualTo("GET /registry/instances?watch=1 HTTP/1.1");
+        Socket after = socket;
+        socket = before;
+        say(chunk(news(43, "draining") + "\n"));
+        untilPhase(Phase.DRAINING);
+        socket = after;
+        say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+        assertThat(ask(elsewhere)).isEqualTo("GET /registry/instances?watch=1 HTTP/1.1");
+        untilPhase(Phase.DRAINING);
+        say(HEAD + chunk(news(3, "ready").replace("\"all\":false", "\"all\":true") + "\n"));
+        untilPhase(Phase.READY);
+        assertThat(before.getInputStream().read()).as("the watch before is ended").isEqualTo(-1);
+        say("0\r\n\r\n");
+        assertThat(ask(elsewhere)).isEqualTo("GET /registry/instances?watch=1&from=3 HTTP/1.1");
+    }
+
+    @Test
+    void movesAgainBeforeTheNewAddressHasTold() throws Exception {
+        ask();
+        say(HEAD + chunk(news(42, "ready") + "\n"));
+        untilPhase(Phase.READY);
+        Socket before = socket;
+        moveTo(elsewhere);
+        ask(elsewhere);
+        moveTo(listening);
+        assertThat(ask()).isEqualTo("GET /registry/instances?watch=1 HTTP/1.1");
+        Socket last = socket;
+        socket = before;
+        say(chunk(news(43, "draining") + "\n"));
+        untilPhase(Phase.DRAINING);
+        socket = last;
+        say(HEAD + chunk(news(7, "ready").replace("\"all\":false", "\"all\":true") + "\n"));
+        untilPhase(Phase.READY);
+    }
 }
