--- a/src/main/java/sandstack/Service.java
+++ b/src/main/java/sandstack/Service.java
@@ -19,6 +19,7 @@
 import sandstack.front.amqp.AmqpFront;
 import sandstack.front.platform.PlatformFront;
 import sandstack.nametable.DiscoveryWatch;
+import sandstack.net.Lobby;
 import sandstack.net.Loop;
 import sun.misc.Signal;
 
@@ -26,7 +27,7 @@
 public final class Service {
     private static final Logger LOG = Logger.getLogger("sandstack.service");
     /** Descriptors that are not sockets of clients and servers: listeners, the selector, discovery, files. */
-    private static final int OTHER_DESCRIPTORS = 64;
+    private static final int OTHER_DESCRIPTORS = 48;
     /** Last words are on their way so long after the last client has gone. */
     private static final long LAST_WORDS = 150_000;
 
@@ -82,12 +83,12 @@
         if (config.known() != null) {
             relay.listed(config.known());
         }
-        int mostSockets = config.sockets() - OTHER_DESCRIPTORS;
+        Lobby lobby = new Lobby(loop, relay.deadlines(), config.sockets() - OTHER_DESCRIPTORS);
         loop.start(relay::turn, relay::nextTurn);
-        listen("lines", config.listen(), new PlatformFront(loop, relay, config.classes(), mostSockets)::listen);
+        listen("lines", config.listen(), new PlatformFront(loop, relay, lobby, config.classes())::listen);
         if (amqpListen != null) {
             listen("AMQP", amqpListen,
-                    new AmqpFront(loop, relay, config.classes(), config.name(), mostSockets)::listen);
+                    new AmqpFront(loop, relay, lobby, config.classes(), config.name())::listen);
         }
         if (where != null) {
             new TenantDirectory(where, list -> loop.execute(() -> relay.tenantsListed(list))).start();
--- a/src/main/java/sandstack/core/Relay.java
+++ b/src/main/java/sandstack/core/Relay.java
@@ -39,8 +39,11 @@
 public final class Relay {
     /** A standing connection whose client's words go unanswered for so long is moved. */
     static final long SILENCE = 4_500_000;
-    /** A command that is still unanswered so long after its deadline gets a failure, whatever happened. */
-    private static final long OVERDUE = 10_000;
+    /**
+     * The client's time runs from when it sent its line, and an answer counts only if it has arrived: the relay
+     * ends what it waits for so much before, or an eighth of the time where that is less.
+     */
+    private static final long HEADROOM = 60_000;
     /** While it drains, the front goes on sending clients for a moment: moves begin after it. */
     private static final long DRAIN_BEGINS = 500_000;
     /** Moves of a draining relay are drawn over this span, so that its clients do not come back as a crowd. */
@@ -167,10 +170,11 @@
         client.command = command;
         // the client's own id may be one that another connection still uses; the module's never is
         client.id = Long.toString(++lastId);
-        client.deadline = now() + command.patience();
+        long headroom = Math.min(HEADROOM, command.patience() / 8);
+        client.deadline = now() + command.patience() - headroom;
         clients.put(client.id, client);
         if (command.standingAt() == null) {
-            client.overdue = deadlines.at(client.deadline + OVERDUE, () -> overdue(client));
+            client.overdue = deadlines.at(client.deadline + headroom / 2, () -> overdue(client));
             ready.add(asRequest(client));
         } else {
             adopt(client);
--- a/src/main/java/sandstack/front/amqp/AmqpClient.java
+++ b/src/main/java/sandstack/front/amqp/AmqpClient.java
@@ -20,21 +20,20 @@
 import org.apache.qpid.protonj2.types.transport.ErrorCondition;
 import org.apache.qpid.protonj2.types.transport.LinkError;
 import sandstack.core.Command;
-import sandstack.core.Deadlines;
 import sandstack.core.Ending;
 import sandstack.core.Execution;
 import sandstack.core.Nack;
 import sandstack.core.ServiceClient;
+import sandstack.net.Lobby;
 import sandstack.net.Peer;
 
 /** A client's side of AMQP: one connection with its one link is one request. */
-final class AmqpClient extends ServiceClient implements AmqpSocket.Owner {
-    /** A peer that connects and attaches nothing is let go after this. */
-    private static final long ATTACH_WITHIN = 10_000_000;
+final class AmqpClient extends ServiceClient implements AmqpSocket.Owner, Lobby.Guest {
+    /** A client for whom there is no room comes again after this. */
+    private static final long NO_ROOM_MILLIS = 1000;
 
     private final AmqpFront front;
     private final AmqpSocket socket;
-    private final Deadlines.Deadline patience;
     private Connection connection;
     private Session session;
     private Link<?> link;
@@ -48,7 +47,13 @@
     AmqpClient(AmqpFront front, Peer peer) {
         this.front = front;
         this.socket = new AmqpSocket(front, peer, this);
-        this.patience = front.relay().deadlines().at(front.now() + ATTACH_WITHIN, () -> leave(null));
+        front.lobby().enter(peer, this);
+    }
+
+    @Override
+    public void turnAway() {
+        leave(null);
+        socket.peer().close();
     }
 
     // ---- from the client --------------------------------------------------------------------------
@@ -93,12 +98,15 @@
         link = attached;
         link.closeHandler(l -> left());
         link.detachHandler(l -> left());
-        patience.cancel();
         Command command = Words.command(link.getRemoteProperties(), front.classes(), front.relay().tenants());
         if (command == null) {
             nack(new Nack(Nack.Kind.BAD_INPUT, 0));
             return;
         }
+        if (!front.lobby().admit(socket.peer())) {
+            nack(new Nack(Nack.Kind.REFUSED, NO_ROOM_MILLIS));
+            return;
+        }
         id = new LinkId(connection.getRemoteContainerId(), link.getName(), link.isReceiver());
         front.claim(id, this, () -> {
             if (!over) {
@@ -153,7 +161,6 @@
 
     private void finish(boolean clean) {
         over = true;
-        patience.cancel();
         if (id != null) {
             front.released(id, this, clean || deliveries.isEmpty() ? null : deliveries);
         }
--- a/src/main/java/sandstack/front/amqp/AmqpFront.java
+++ b/src/main/java/sandstack/front/amqp/AmqpFront.java
@@ -12,8 +12,8 @@
 import org.glassfish.grizzly.filterchain.NextAction;
 import sandstack.core.NameTable;
 import sandstack.core.Relay;
+import sandstack.net.Lobby;
 import sandstack.net.Loop;
-import sandstack.net.Peer;
 
 /** AMQP 1.0: listens for clients, connects to feed servers and knows which link is whose. */
 public final class AmqpFront {
@@ -29,7 +29,7 @@
     private final Relay relay;
     private final List<String> classes;
     private final String container;
-    private final int mostSockets;
+    private final Lobby lobby;
     private final Map<LinkId, AmqpClient> holders = new HashMap<>();
     private final Map<LinkId, Deliveries> broken = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -42,14 +42,13 @@
 
     /**
      * @param container what the relay calls itself to clients
-     * @param mostSockets beyond so many open sockets new clients are turned away at once
      */
-    public AmqpFront(Loop loop, Relay relay, List<String> classes, String container, int mostSockets) {
+    public AmqpFront(Loop loop, Relay relay, Lobby lobby, List<String> classes, String container) {
         this.loop = loop;
         this.relay = relay;
         this.classes = classes;
         this.container = container;
-        this.mostSockets = mostSockets;
+        this.lobby = lobby;
     }
 
     /** Listens; returns the port. */
@@ -57,11 +56,7 @@
         return loop.listen(host, port, loop.chain(new BaseFilter() {
             @Override
             public NextAction handleAccept(FilterChainContext context) {
-                Peer peer = Loop.peer(context);
-                AmqpClient client = new AmqpClient(AmqpFront.this, peer);
-                if (loop.sockets() > mostSockets) {
-                    client.socket().reset();
-                }
+                new AmqpClient(AmqpFront.this, Loop.peer(context));
                 return context.getStopAction();
             }
         }));
@@ -102,6 +97,10 @@
         return left;
     }
 
+    Lobby lobby() {
+        return lobby;
+    }
+
     Relay relay() {
         return relay;
     }
--- a/src/main/java/sandstack/front/amqp/AmqpSocket.java
+++ b/src/main/java/sandstack/front/amqp/AmqpSocket.java
@@ -18,8 +18,6 @@
     /** The protocol header that begins a connection: AMQP, a protocol number and three of version. */
     private static final int HEADER = 8;
     private static final int SASL = 3;
-    /** A closed connection waits so long for the other side's end. */
-    private static final long LINGER = 2_000_000;
 
     /** Who is told what the connection does; the engine's own handlers tell the rest. */
     interface Owner {
@@ -146,7 +144,7 @@
     }
 
     private void linger() {
-        front.relay().deadlines().at(front.now() + LINGER, peer::close);
+        front.lobby().leave(peer);
     }
 
     private void end(Ending how) {
--- a/src/main/java/sandstack/front/platform/FirstLine.java
+++ b/src/main/java/sandstack/front/platform/FirstLine.java
@@ -60,6 +60,11 @@
                 "1".equals(values.get("again")), values.get("at"));
     }
 
+    /** The id, new with every connection. */
+    String id() {
+        return id;
+    }
+
     /** The line as it goes on to a feed server: unchanged, but with the time that the relay will wait. */
     String toServer(long patienceMillis) {
         StringBuilder line = new StringBuilder("OPEN ").append(id).append(' ').append(key);
--- a/src/main/java/sandstack/front/platform/PlatformClient.java
+++ b/src/main/java/sandstack/front/platform/PlatformClient.java
@@ -1,20 +1,18 @@
 package sandstack.front.platform;
 
 import sandstack.core.Command;
-import sandstack.core.Deadlines;
 import sandstack.core.Execution;
 import sandstack.core.Nack;
 import sandstack.core.Relay;
 import sandstack.core.ServiceClient;
+import sandstack.net.Lobby;
 import sandstack.net.Peer;
 
 /** A client's side of the line protocol: its first line, its answer, and the passing of lines after UP. */
-final class PlatformClient extends ServiceClient implements Peer.Owner {
+final class PlatformClient extends ServiceClient implements Peer.Owner, Lobby.Guest {
     private static final int LONGEST_LINE = 4096;
-    /** A peer that connects and says nothing, or half a line, is let go after this. */
-    private static final long FIRST_LINE_WITHIN = 10_000_000;
-    /** How long an answered client may keep its end open. */
-    private static final long LINGER = 2_000_000;
+    /** A client for whom there is no room comes again after this. */
+    private static final long NO_ROOM_MILLIS = 1000;
 
     private enum State { FIRST_LINE, WAITING, STANDING, LEAVING }
 
@@ -24,14 +22,13 @@
     private State state = State.FIRST_LINE;
     private FirstLine firstLine;
     private ServerWire server;
-    private Deadlines.Deadline patience;
 
     PlatformClient(PlatformFront front, Peer peer) {
         this.front = front;
         this.relay = front.relay();
         this.peer = peer;
         peer.ownedBy(this);
-        patience = relay.deadlines().at(front.now() + FIRST_LINE_WITHIN, peer::close);
+        front.lobby().enter(peer, this);
     }
 
     // ---- from the client --------------------------------------------------------------------------
@@ -40,12 +37,13 @@
     public void received(int count) {
         switch (state) {
             case FIRST_LINE -> readLines();
-            case WAITING -> { }
-            case STANDING -> server.passOn();
-            case LEAVING -> {
-                peer.in().skip(peer.in().size());
-                peer.resume();
+            case WAITING -> {
+                // a client waits for its answer: more behind its line is not one request but several, or none
+                relay.clientLeft(this);
+                badInput();
             }
+            case STANDING -> server.passOn();
+            case LEAVING -> { }
             default -> throw new IllegalStateException();
         }
     }
@@ -61,35 +59,57 @@
             }
             String line = peer.in().peek(end + 1);
             peer.in().skip(end + 1);
-            if (line.equals("PING\r\n")) {
+            if (line.equals("PING\r\n") && peer.waiting() == 0) {
                 peer.send("PONG\r\n");
             } else {
-                firstLine = line.endsWith("\r\n") ? FirstLine.read(line.substring(0, end - 1)) : null;
-                Command command = firstLine == null ? null : firstLine.command(front.classes(), relay.tenants());
-                if (command == null) {
-                    badInput();
-                } else {
-                    patience.cancel();
-                    state = State.WAITING;
-                    relay.take(this, command);
-                }
+                request(line.endsWith("\r\n") ? FirstLine.read(line.substring(0, end - 1)) : null);
             }
         }
         peer.resume();
     }
 
+    private void request(FirstLine line) {
+        Command command = line == null ? null : line.command(front.classes(), relay.tenants());
+        if (command == null || !peer.in().isEmpty() || !front.claim(line.id())) {
+            badInput();
+            return;
+        }
+        firstLine = line;
+        if (!front.lobby().admit(peer)) {
+            nack(new Nack(Nack.Kind.REFUSED, NO_ROOM_MILLIS));
+            return;
+        }
+        state = State.WAITING;
+        relay.take(this, command);
+    }
+
     private void badInput() {
-        patience.cancel();
         nack(new Nack(Nack.Kind.BAD_INPUT, 0));
     }
 
+    @Override
+    public void turnAway() {
+        nack(new Nack(Nack.Kind.REFUSED, NO_ROOM_MILLIS));
+        peer.close();
+    }
+
+    @Override
+    public void gone() {
+        release();
+    }
+
+    /** The request is over: another may have its id. */
+    private void release() {
+        if (firstLine != null) {
+            front.released(firstLine.id());
+            firstLine = null;
+        }
+    }
+
     @Override
     public void finished() {
         switch (state) {
-            case FIRST_LINE -> {
-                patience.cancel();
-                peer.close();
-            }
+            case FIRST_LINE -> peer.close();
             case WAITING -> {
                 relay.clientLeft(this);
                 peer.close();
@@ -105,7 +125,7 @@
         switch (state) {
             case WAITING -> relay.clientLeft(this);
             case STANDING -> server.clientBroke();
-            default -> patience.cancel();
+            default -> { }
         }
     }
 
@@ -155,9 +175,9 @@
         state = State.LEAVING;
         // closed with words of the client's unread, the kernel would send a reset after the answer and the
         // client might never read it
-        peer.in().skip(peer.in().size());
-        peer.resume();
-        patience = relay.deadlines().at(front.now() + LINGER, peer::close);
+        peer.discard();
+        release();
+        front.lobby().leave(peer);
         if (lastWord != null) {
             peer.send(lastWord);
         }
@@ -170,7 +190,6 @@
 
     private void leave() {
         if (peer.outEnded()) {
-            patience.cancel();
             peer.close();
         }
     }
--- a/src/main/java/sandstack/front/platform/PlatformFront.java
+++ b/src/main/java/sandstack/front/platform/PlatformFront.java
@@ -1,31 +1,31 @@
 package sandstack.front.platform;
 
 import java.io.IOException;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
 import sandstack.core.NameTable;
 import sandstack.core.Relay;
+import sandstack.net.Lobby;
 import sandstack.net.Loop;
-import sandstack.net.Peer;
 
 /** The platform's line protocol: listens for clients and connects to feed servers. */
 public final class PlatformFront {
     private final Loop loop;
     private final Relay relay;
     private final List<String> classes;
-    private final int mostSockets;
+    private final Lobby lobby;
+    private final Set<String> ids = new HashSet<>();
 
-    /**
-     * @param classes names of the settings' classes, in their order
-     * @param mostSockets beyond so many open sockets new clients are turned away at once
-     */
-    public PlatformFront(Loop loop, Relay relay, List<String> classes, int mostSockets) {
+    /** @param classes names of the settings' classes, in their order */
+    public PlatformFront(Loop loop, Relay relay, Lobby lobby, List<String> classes) {
         this.loop = loop;
         this.relay = relay;
+        this.lobby = lobby;
         this.classes = classes;
-        this.mostSockets = mostSockets;
     }
 
     /** Listens; returns the port. */
@@ -33,24 +33,29 @@
         return loop.listen(host, port, loop.chain(new BaseFilter() {
             @Override
             public NextAction handleAccept(FilterChainContext context) {
-                accepted(Loop.peer(context));
+                new PlatformClient(PlatformFront.this, Loop.peer(context));
                 return context.getStopAction();
             }
         }));
     }
 
-    private void accepted(Peer peer) {
-        PlatformClient client = new PlatformClient(this, peer);
-        if (loop.sockets() > mostSockets) {
-            // out of descriptors the listener itself would fail: better to refuse while there are some left
-            client.end("BUSY 1000\r\n");
-        }
+    /** Takes this id for a request; false where an open one has it. */
+    boolean claim(String id) {
+        return ids.add(id);
+    }
+
+    void released(String id) {
+        ids.remove(id);
     }
 
     Loop.Attempted connect(NameTable.Line server, Loop.Connecting told) {
         return loop.connect(server.host(), server.port(), told);
     }
 
+    Lobby lobby() {
+        return lobby;
+    }
+
     Relay relay() {
         return relay;
     }
--- /dev/null
+++ b/src/main/java/sandstack/net/Lobby.java
@@ -0,0 +1,123 @@
+package sandstack.net;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import sandstack.core.Deadlines;
+import sandstack.core.Deadlines.Deadline;
+
+/**
+ * Keeps the descriptors for those who are served. An accepted peer is a guest until it has asked for something
+ * that can be served; then it is admitted, with a descriptor more for its way to a feed server. Whoever has had
+ * its last word is only waited for. Where descriptors run short, those that are leaving go first, then the
+ * guests that have been silent longest: peers that say nothing cannot crowd out clients that ask.
+ */
+public final class Lobby {
+    /** Who connects has to ask by then; an error or a close is due after 3 s, whatever came in between. */
+    private static final long ASK_WITHIN = 2_500_000;
+    /** How long a peer that has had its last word may keep its end open. */
+    private static final long LINGER = 2_000_000;
+    /** Admitted clients take all but so many descriptors, or nobody could be told that there is no room. */
+    private static final int LEAST_GUESTS = 8;
+    private static final int ADMITTED_DESCRIPTORS = 2;
+
+    /** What a front knows of one accepted peer. */
+    public interface Guest {
+        /** There is no room, or it has not asked in time: told in a word if there is one, and closed at once. */
+        void turnAway();
+
+        /** Its socket is closed, whoever closed it. */
+        default void gone() {}
+    }
+
+    private record Stay(Guest guest, Deadline until) {}
+
+    private final Deadlines deadlines;
+    private final Loop loop;
+    private final int most;
+    private final Map<Peer, Stay> guests = new LinkedHashMap<>();
+    private final Map<Peer, Guest> admitted = new LinkedHashMap<>();
+    private final Map<Peer, Stay> leaving = new LinkedHashMap<>();
+    private boolean makingRoom;
+
+    /** @param most descriptors that sockets of clients and feed servers may take together */
+    public Lobby(Loop loop, Deadlines deadlines, int most) {
+        this.loop = loop;
+        this.deadlines = deadlines;
+        this.most = most;
+    }
+
+    /** A peer has been accepted. It may be turned away before this returns. */
+    public void enter(Peer peer, Guest guest) {
+        peer.watchedBy(this);
+        guests.put(peer, new Stay(guest, deadlines.at(loop.now() + ASK_WITHIN, guest::turnAway)));
+        makeRoom();
+    }
+
+    /** The guest has asked for what can be served; false where there is no room for it and its feed server. */
+    public boolean admit(Peer peer) {
+        if (admitted.size() >= (most - LEAST_GUESTS) / ADMITTED_DESCRIPTORS) {
+            return false;
+        }
+        Stay stay = guests.remove(peer);
+        stay.until.cancel();
+        admitted.put(peer, stay.guest);
+        makeRoom();
+        return true;
+    }
+
+    /** The last word has been said on this socket; it is closed when its peer has closed, or soon. */
+    public void leave(Peer peer) {
+        if (peer.closed() || leaving.containsKey(peer)) {
+            return;
+        }
+        peer.watchedBy(this);
+        Stay stay = guests.remove(peer);
+        if (stay != null) {
+            stay.until.cancel();
+        }
+        Guest guest = stay != null ? stay.guest : admitted.remove(peer);
+        leaving.put(peer, new Stay(guest, deadlines.at(loop.now() + LINGER, peer::close)));
+    }
+
+    /** Called once for each socket that was here. */
+    void closed(Peer peer) {
+        Stay stay = guests.containsKey(peer) ? guests.remove(peer) : leaving.remove(peer);
+        if (stay != null) {
+            stay.until.cancel();
+        }
+        Guest guest = stay != null ? stay.guest : admitted.remove(peer);
+        if (guest != null) {
+            guest.gone();
+        }
+    }
+
+    private int taken() {
+        return guests.size() + leaving.size() + ADMITTED_DESCRIPTORS * admitted.size();
+    }
+
+    private void makeRoom() {
+        if (makingRoom) {
+            return;
+        }
+        makingRoom = true;
+        while (taken() > most && !leaving.isEmpty()) {
+            oldest(leaving).close();
+        }
+        while (taken() > most && !guests.isEmpty()) {
+            Peer peer = oldest(guests);
+            // in a crowd that comes at once, the oldest may be a client whose line has not been looked at yet
+            Loop.guarded(peer, peer::readable);
+            Stay stay = guests.get(peer);
+            if (stay != null) {
+                stay.guest.turnAway();
+            }
+        }
+        makingRoom = false;
+    }
+
+    private static Peer oldest(Map<Peer, Stay> among) {
+        Iterator<Peer> peers = among.keySet().iterator();
+        return peers.next();
+    }
+}
--- a/src/main/java/sandstack/net/Loop.java
+++ b/src/main/java/sandstack/net/Loop.java
@@ -2,8 +2,8 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.nio.channels.SelectionKey;
-import java.util.HashSet;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -59,7 +59,7 @@
 
     private final TCPNIOTransport transport;
     private final Queue<Runnable> tasks = new ConcurrentLinkedQueue<>();
-    private final Set<Peer> peers = new HashSet<>();
+    private final ByteBuffer scrap = ByteBuffer.allocateDirect(64 * 1024);
     private final long wallStart = System.currentTimeMillis() * 1000;
     private final long nanoStart = System.nanoTime();
     private final FilterChain outgoing;
@@ -129,7 +129,7 @@
         return dial(host, port, outgoing, new Dialled() {
             @Override
             public void connected(Connection<?> connection) {
-                told.connected(opened(connection));
+                told.connected(new Peer(connection, Loop.this));
             }
 
             @Override
@@ -146,19 +146,9 @@
         return connector;
     }
 
-    /** How many sockets to clients and servers are open. */
-    public int sockets() {
-        return peers.size();
-    }
-
-    void closed(Peer peer) {
-        peers.remove(peer);
-    }
-
-    private Peer opened(Connection<?> connection) {
-        Peer peer = new Peer(connection, this);
-        peers.add(peer);
-        return peer;
+    /** An empty buffer for bytes that nobody will look at. */
+    ByteBuffer scrap() {
+        return scrap.clear();
     }
 
     /** The socket of a connection that a front's filter is told of. */
@@ -171,7 +161,7 @@
     private final class RingFilter extends BaseFilter {
         @Override
         public NextAction handleAccept(FilterChainContext context) {
-            opened(context.getConnection());
+            new Peer(context.getConnection(), Loop.this);
             return context.getInvokeAction();
         }
 
@@ -185,7 +175,7 @@
         }
     }
 
-    private static void guarded(Peer peer, Runnable work) {
+    static void guarded(Peer peer, Runnable work) {
         try {
             work.run();
         } catch (RuntimeException e) {
--- a/src/main/java/sandstack/net/Peer.java
+++ b/src/main/java/sandstack/net/Peer.java
@@ -44,6 +44,8 @@
     private boolean reading = true;
     private boolean finishing;
     private boolean outEnded;
+    private boolean discarding;
+    private Lobby lobby;
     private boolean inEnded;
     private boolean closed;
 
@@ -62,6 +64,18 @@
         owner = newOwner;
     }
 
+    /** The lobby hears of this socket's end. */
+    void watchedBy(Lobby watching) {
+        lobby = watching;
+    }
+
+    /** From now on what comes is read and thrown away. */
+    public void discard() {
+        discarding = true;
+        in.skip(in.size());
+        resume();
+    }
+
     /** Bytes that came from the peer and were not yet passed on. */
     public Ring in() {
         return in;
@@ -82,10 +96,15 @@
         int came = 0;
         try {
             int n = 1;
-            while (n > 0 && in.room() > 0) {
+            while (n > 0 && !discarding && in.room() > 0) {
                 n = in.readFrom(channel);
                 came += Math.max(0, n);
             }
+            if (discarding) {
+                // one piece a turn, through one buffer for all: a peer that sends 60 MB costs neither memory
+                // nor the others' turns
+                n = channel.read(loop.scrap());
+            }
             inEnded = n < 0;
         } catch (IOException e) {
             breakDown();
@@ -203,8 +222,10 @@
     public void close() {
         if (!closed) {
             closed = true;
-            loop.closed(this);
             connection.terminateSilently();
+            if (lobby != null) {
+                lobby.closed(this);
+            }
         }
     }
 
--- a/src/test/java/sandstack/scenario/ScenarioTest.java
+++ b/src/test/java/sandstack/scenario/ScenarioTest.java
@@ -23,6 +23,7 @@
  *   <li>{@code expect}: the next thing that the actor hears is this
  *   <li>{@code close}, {@code reset}: the actor ends its sending, or its connection
  *   <li>{@code wait N}: until the relay holds so many clients
+ *   <li>{@code crowd N}, {@code dispersed}: so many connect and say nothing; all of them have been closed
  *   <li>{@code servers N}, {@code dead}, {@code draining xN}, {@code gone xN}: the name table
  * </ul>
  */
@@ -113,6 +114,8 @@
             case "dead" -> stage.deadServer();
             case "draining" -> stage.leaving(actors.get(what), Phase.DRAINING);
             case "gone" -> stage.leaving(actors.get(what), Phase.GONE);
+            case "crowd" -> stage.crowd(Integer.parseInt(what));
+            case "dispersed" -> stage.crowdIsGone();
             case "drain" -> stage.drain();
             case "drained" -> stage.awaitDrained();
             case "wait" -> {
--- a/src/test/java/sandstack/scenario/Stage.java
+++ b/src/test/java/sandstack/scenario/Stage.java
@@ -22,17 +22,21 @@
 import sandstack.decisions.Decisions.Settings;
 import sandstack.front.amqp.AmqpFront;
 import sandstack.front.platform.PlatformFront;
+import sandstack.net.Lobby;
 import sandstack.net.Loop;
 
 /** A relay on loopback with stand-in feed servers of ours, for one scenario. All ports are the system's choice. */
 final class Stage implements AutoCloseable {
     static final List<String> CLASSES = List.of("order-status", "stock-check");
+    /** So many sockets the relay may hold. */
+    private static final int SOCKETS = 40;
     private static final InetAddress LOOPBACK = InetAddress.getLoopbackAddress();
 
     private final boolean amqp;
     private final Loop loop = new Loop();
     private final Relay relay;
     private final int port;
+    private final List<Socket> crowd = new ArrayList<>();
     private final List<ServerSocket> servers = new ArrayList<>();
     private final BlockingQueue<Actor> asked = new LinkedBlockingQueue<>();
     private final CompletableFuture<Void> drained = new CompletableFuture<>();
@@ -46,8 +50,9 @@
                 3, 1_500_000, -1);
         relay = new Relay(settings, 11, loop::now, () -> { });
         loop.start(relay::turn, relay::nextTurn);
-        port = amqp ? new AmqpFront(loop, relay, CLASSES, "relay", 500).listen("127.0.0.1", 0)
-                : new PlatformFront(loop, relay, CLASSES, 500).listen("127.0.0.1", 0);
+        Lobby lobby = new Lobby(loop, relay.deadlines(), SOCKETS);
+        port = amqp ? new AmqpFront(loop, relay, lobby, CLASSES, "relay").listen("127.0.0.1", 0)
+                : new PlatformFront(loop, relay, lobby, CLASSES).listen("127.0.0.1", 0);
     }
 
     /** Starts feed servers and lists them. */
@@ -106,6 +111,22 @@
         return (amqp ? new AmqpActor(socket, true) : new TextActor(socket)).start();
     }
 
+    /** So many connect and say nothing. */
+    void crowd(int count) throws IOException {
+        for (int i = 0; i < count; i++) {
+            crowd.add(new Socket(LOOPBACK, port));
+        }
+    }
+
+    /** Until each of the crowd has been closed by the relay. */
+    void crowdIsGone() throws IOException {
+        for (Socket socket : crowd) {
+            socket.setSoTimeout(10_000);
+            socket.getInputStream().readAllBytes();
+            socket.close();
+        }
+    }
+
     /**
      * The next request that reaches a feed server. An earlier one for the same key must end by itself: two
      * attempts are never out at once.
--- a/src/test/java/sandstack/scenario/TextActor.java
+++ b/src/test/java/sandstack/scenario/TextActor.java
@@ -25,7 +25,7 @@
             case "bye", "move", "busy" -> words[0].toUpperCase();
             case "error" -> "ERR";
             case "line" -> what.substring(5);
-            case "raw" -> what.substring(4).replace("\\r", "\r").replace("\\0", "\0");
+            case "raw" -> what.substring(4).replace("\\r", "\r").replace("\\n", "\n").replace("\\0", "\0");
             case "long" -> "OPEN " + "x".repeat(Integer.parseInt(words[1]));
             default -> throw new IllegalArgumentException(what);
         };
