--- a/src/main/java/sandstack/core/Relay.java
+++ b/src/main/java/sandstack/core/Relay.java
@@ -302,6 +302,8 @@
         if (client.execution != null) {
             client.execution.giveUp(Ending.CLIENT_LEFT);
         }
+        LOG.fine(() -> "command " + client.id + " of " + client.command.key() + " was answered " + nack.kind() + " "
+                + nack.comeBackMillis() + " after " + client.executions + " executions");
         client.nack(nack);
     }
 
