Blame a server for errors on evidence only, and call a full home zone no jam while others have room

Checked by a trace of look(): (1) requests of one group got ERR at every feed server; each ERR marked a healthy server (Brain.ended), until all were marked and 0.9 of the load was shed. (2) with no delays told, home servers at 0.42 to 0.56 of estimated use counted as late, and with one or two servers at home that alone was a jam, while three servers elsewhere stood at 0 to 0.26. Ruled out: descriptors (seven guests let go, nobody refused for room), CPU, time-outs (none). Now an error blames its server once it errs on another group too, or once another server serves the request, which is not sent again to where it erred. Servers that are full only by what stands there from here are no jam while no other is late by evidence and under half of those are full. Three tests in OverloadTest; two fail before, the third keeps a faulty server marked.

--- a/src/main/java/sandstack/decisions/Brain.java
+++ b/src/main/java/sandstack/decisions/Brain.java
@@ -71,6 +71,8 @@
         int fails;
         long markedUntil;
         boolean trialOut;
+        /** What it last gave an error to, until it has served something. */
+        String erredOn;
         // evidence of room
         double delay;
         long delayAt = Long.MIN_VALUE / 2;
@@ -108,6 +110,8 @@
         long wake;
         long openedAt;
         double moveDraw = -1;
+        /** Servers that gave it an error; an empty list where none did. */
+        List<Server> erredAt = List.of();
         // keyed and unsafe classes: the first attempt that may have run
         Server mayHaveRunAt;
         long mayHaveRunSince;
@@ -334,6 +338,20 @@
         s.markedUntil = now + (markSlot << s.fails >> 1);
     }
 
+    /**
+     * An error may be the request's own fault: some err wherever they go, and marks for that emptied the
+     * fleet. The server is at fault once it errs on another group too, or once another serves the request.
+     */
+    private void erred(Request r) {
+        String what = r.ask.group() != null ? r.ask.group() : r.key;
+        if (r.at.erredOn != null && !r.at.erredOn.equals(what)) {
+            mark(r.at);
+        }
+        r.at.erredOn = what;
+        r.erredAt = new ArrayList<>(r.erredAt);
+        r.erredAt.add(r.at);
+    }
+
     private void clear(Server s) {
         s.fails = 0;
         s.markedUntil = 0;
@@ -359,6 +377,9 @@
         if (s.phase != Phase.READY) {
             return false;
         }
+        if (r.erredAt.contains(s)) {
+            return false;
+        }
         Server ran = r.mayHaveRunAt;
         if (ran == null || r.cls.repeat() == Repeat.SAFE) {
             return true;
@@ -526,6 +547,23 @@
         place(r);
     }
 
+    /**
+     * A mark that has run out says nothing any more, though no trial has come to clear it: counted on, it
+     * kept a balancer shedding after the trouble had passed.
+     */
+    private boolean marked(Server s) {
+        return s.fails > 0 && now < s.markedUntil;
+    }
+
+    /** Late by nothing but what stands there from here. */
+    private boolean fullHere(Server s) {
+        return use(s) >= USE_FULL && !marked(s);
+    }
+
+    private boolean late(Server s) {
+        return marked(s) || room(s) <= 0;
+    }
+
     /**
      * Where most servers are late, placing and moving cannot help: all lose together. A part of the load is
      * refused then, least worth for its load first, more each look until the jam is gone.
@@ -533,31 +571,39 @@
     private void look() {
         int known = 0;
         int hot = 0;
+        int full = 0;
         int knownAway = 0;
         int hotAway = 0;
+        int fullAway = 0;
+        int readyAway = 0;
         for (Server s : away) {
-            boolean late = (s.fails > 0 && now < s.markedUntil) || room(s) <= 0;
+            boolean late = late(s);
+            readyAway += s.phase == Phase.READY ? 1 : 0;
             if (s.phase == Phase.READY && (late || !s.held.isEmpty())) {
                 knownAway++;
                 hotAway += late ? 1 : 0;
+                fullAway += late && fullHere(s) ? 1 : 0;
             }
         }
         for (Server s : home) {
-            // a mark that has run out says nothing any more, though no trial has come to clear it: counted
-            // on, it kept a balancer shedding after the trouble had passed
-            boolean late = (s.fails > 0 && now < s.markedUntil) || room(s) <= 0;
+            boolean late = late(s);
             if (s.phase == Phase.READY && (late || !s.held.isEmpty())) {
                 known++;
                 hot += late ? 1 : 0;
+                full += late && fullHere(s) ? 1 : 0;
             }
         }
         lateHome += known > 1 ? ((double) hot / known - lateHome) / 2 : -lateHome / 4;
         lateAway += knownAway > 0 ? ((double) hotAway / knownAway - lateAway) / 2 : -lateAway / 4;
+        // servers that are full only by what stands there from here are no jam while others have room: what a
+        // small zone cannot take went elsewhere anyhow, but for those that were refused
+        boolean room = full > 0 && hotAway == fullAway && hotAway < readyAway * JAMMED;
         if (known <= 1) {
             // a zone left with one server would never count as jammed by itself
             known += knownAway;
             hot += hotAway;
         }
+        hot -= room ? full : 0;
         for (Server s : servers.values()) {
             if (use(s) >= USE_OVER && s.phase == Phase.READY) {
                 relocate(s);
@@ -868,6 +914,9 @@
         timeOuts = 0;
         setUp += (Math.max(0, e.took()) - setUp) / 4;
         open(r);
+        r.at.erredOn = null;
+        r.erredAt.forEach(this::mark);
+        r.erredAt = List.of();
         if (r.at.fails > 0) {
             // a jammed server takes a connection and drops it soon after: the trial is passed by staying up
             wake(r, now + markSlot);
@@ -898,7 +947,7 @@
         }
         if (e.requestOver()) {
             if (!stood && failed(e.outcome())) {
-                mark(r.at);
+                blame(r, e.outcome());
             }
             forget(r);
             return;
@@ -915,7 +964,7 @@
         // when attempts time out one after another, what they share is slow, not the servers: marks would
         // only empty the fleet, and short attempts would ask the shared store again and again
         if (failed(e.outcome()) && (e.outcome() != Outcome.TIMEOUT || timeOuts <= 2)) {
-            mark(r.at);
+            blame(r, e.outcome());
         }
         if (!e.outcome().neverRan && r.mayHaveRunAt == null) {
             r.mayHaveRunAt = r.at;
@@ -929,6 +978,14 @@
         backOff(r);
     }
 
+    private void blame(Request r, Outcome o) {
+        if (o == Outcome.ERROR) {
+            erred(r);
+        } else {
+            mark(r.at);
+        }
+    }
+
     private static boolean failed(Outcome o) {
         return o == Outcome.CONNECT_FAILED || o == Outcome.TIMEOUT || o == Outcome.RESET || o == Outcome.FULL
                 || o == Outcome.ERROR;
--- a/src/test/java/sandstack/decisions/OverloadTest.java
+++ b/src/test/java/sandstack/decisions/OverloadTest.java
@@ -97,6 +97,70 @@
         assertTrue(refused[0] > 50 && refused[1] == 0, refused[0] + " and " + refused[1] + " of 200 refused");
     }
 
+    private static int placedAt(Rig rig, int zone, String prefix) {
+        int n = 0;
+        for (int i = 0; i < 100; i++) {
+            rig.request(prefix + i, prefix + i);
+            Attempt a = rig.attempts.get(prefix + i);
+            n += a != null && rig.zoneOf(a.server()) == zone ? 1 : 0;
+        }
+        return n;
+    }
+
+    @Test
+    void aHomeZoneFullByWhatStandsThereIsNoJamWhileOthersHaveRoom() {
+        Rig rig = new Rig(Rig.settings().build(), 6);
+        rig.list(6, 2);
+        for (int s : List.of(0, 1, 3, 4)) {
+            rig.send(new Adopted(rig.ask("c" + s, "c" + s), "s" + s));
+            rig.send(new LoadChanged("c" + s, 0, "s" + s, 600_000));
+        }
+        for (int i = 0; i < 6; i++) {
+            rig.now += Rig.DEADLINE / 2;
+            rig.send(new TimerDue(-99));
+        }
+        assertEquals(100, placedAt(rig, 1, "r"), "refused though the other zone is empty");
+    }
+
+    /** Sends a request of this group; it gets an error wherever it goes. Returns how many servers it was sent to. */
+    private static int poison(Rig rig, String id, String group) {
+        rig.send(new ConnectRequest(id, 0, 0, id, group, rig.now + Rig.DEADLINE, 0, false, false));
+        for (int n = 0; !rig.answered.contains(id); n = rig.tries.get(id)) {
+            if (rig.tries.getOrDefault(id, 0) > n) {
+                rig.send(new AttemptEnded(id, n, rig.attempts.get(id).server(), Outcome.ERROR, false, 1000, null));
+            }
+            rig.advance(Rig.AIM / 64);
+        }
+        return rig.tries.get(id);
+    }
+
+    @Test
+    void requestsThatErrEverywhereTakeNoServerOut() {
+        Rig rig = new Rig(Rig.settings().build(), 6);
+        rig.list(6, 2);
+        for (int i = 0; i < 6; i++) {
+            assertTrue(poison(rig, "p" + i, "bad") > 1);
+        }
+        assertEquals(100, placedAt(rig, 0, "r"), "home servers were marked for what one group brought along");
+    }
+
+    @Test
+    void aServerThatErrsOnWhatAnotherServesIsMarked() {
+        Rig rig = new Rig(Rig.settings().build(), 6);
+        rig.list(6, 2);
+        rig.request("r", "k");
+        String faulty = rig.attempts.get("r").server();
+        rig.send(new AttemptEnded("r", 0, faulty, Outcome.ERROR, false, 1000, null));
+        rig.advance(Rig.AIM);
+        String good = rig.attempts.get("r").server();
+        assertTrue(!good.equals(faulty), "sent again to where it got an error");
+        rig.send(new Established("r", 1, good, 1000));
+        for (int i = 0; i < 100; i++) {
+            rig.request("q" + i, "q" + i);
+            assertTrue(!rig.attempts.get("q" + i).server().equals(faulty), "no mark");
+        }
+    }
+
     @Test
     void aZoneWhoseServersAreLateSpillsAPart() {
         Rig rig = loaded();
