Move a stopping relay's clients late, and take MOVE from a feed server for its draining

And for 0.16 s after a feed server had sent everybody away, 17 who came back were placed there again, as discovery told of the drain only then; all were sent away once more. Checked in the relays' logs: SIGTERM at 16.0 s, last move at 18.5 s, kill not before 19.7 s; next relay up at 23.1 s. At fault: Relay.moveWhileDraining drew from 0.5 to 2.5 s; Relay.ended told the module CANCELLED and nobody that the feed server leaves. Now moves are drawn over the last 1.2 s of the longest deadline (3 s at the most, as the platform counts), and a feed server that sent a client away counts as draining until discovery tells of it or 10 s have passed.

--- a/src/main/java/sandstack/core/NameTable.java
+++ b/src/main/java/sandstack/core/NameTable.java
@@ -11,7 +11,13 @@
 /** Discovery's list of feed servers as this relay last heard it, with their addresses. */
 public final class NameTable {
     /** One feed server: what the module is told of it, and where it listens for this relay. */
-    public record Line(ServerEntry entry, String host, int port) {}
+    public record Line(ServerEntry entry, String host, int port) {
+        /** The same feed server in another phase. */
+        Line in(Phase phase) {
+            return new Line(new ServerEntry(entry.server(), entry.zone(), entry.cell(), entry.kind(),
+                    entry.startedAt(), phase, entry.rating()), host, port);
+        }
+    }
 
     /** News from discovery: the whole list or what changed, and the version that it leads to. */
     public record News(ListKind kind, long version, List<Line> lines) {
--- a/src/main/java/sandstack/core/Relay.java
+++ b/src/main/java/sandstack/core/Relay.java
@@ -22,9 +22,11 @@
 import sandstack.decisions.Decisions.Fail;
 import sandstack.decisions.Decisions.ListKind;
 import sandstack.decisions.Decisions.LoadChanged;
+import sandstack.decisions.Decisions.Phase;
 import sandstack.decisions.Decisions.Refuse;
 import sandstack.decisions.Decisions.Relocate;
 import sandstack.decisions.Decisions.RequestClass;
+import sandstack.decisions.Decisions.ServerEntry;
 import sandstack.decisions.Decisions.ServerList;
 import sandstack.decisions.Decisions.SetTimer;
 import sandstack.decisions.Decisions.Settings;
@@ -46,9 +48,17 @@
     private static final long HEADROOM = 60_000;
     /** While it drains, the front goes on sending clients for a moment: moves begin after it. */
     private static final long DRAIN_BEGINS = 500_000;
-    /** Moves of a draining relay are drawn over this span, so that its clients do not come back as a crowd. */
-    private static final long DRAIN_SPAN = 2_000_000;
+    /** The platform waits for the longest deadline before it kills, but not for more of it than this. */
+    private static final long DRAIN_LONGEST = 3_000_000;
+    /**
+     * Moves of a draining relay are drawn over this span, so that its clients do not come back as a crowd. It
+     * ends as late as the platform allows: where relays are restarted one after another, those that go early
+     * come to one that is next, or to none.
+     */
+    private static final long DRAIN_SPAN = 1_200_000;
     private static final long DRAIN_LEFT = 200_000;
+    /** A feed server that sent a client away counts as draining for so long, unless discovery tells of it. */
+    private static final long SENT_AWAY_COUNTS = 10_000_000;
     private static final long ADOPT_PAUSE = 250_000;
     private static final long REPORT_PAUSE = 1_000_000;
     private static final Logger LOG = Logger.getLogger("sandstack.relay");
@@ -245,6 +255,9 @@
             }
             return;
         }
+        if (ending == Ending.SENT_AWAY) {
+            leaves(execution.server());
+        }
         boolean over = stood || client.finished;
         ready.add(new AttemptEnded(client.id, client.command.standingAt() != null ? 0 : execution.number(),
                 execution.server().entry().server(), ending.outcome(), over, now() - execution.began(), null));
@@ -328,6 +341,24 @@
         }
     }
 
+    /**
+     * A feed server that sends its clients away drains, and discovery tells so only seconds later: until then
+     * those who came back were placed there again, to be sent away once more.
+     */
+    private void leaves(NameTable.Line line) {
+        ServerEntry e = line.entry();
+        if (names.get(e.server()) != line || e.phase() != Phase.READY) {
+            return;
+        }
+        NameTable.Line leaving = line.in(Phase.DRAINING);
+        listed(new NameTable.News(ListKind.CHANGES, names.version(), List.of(leaving)));
+        deadlines.at(now() + SENT_AWAY_COUNTS, () -> {
+            if (names.get(e.server()) == leaving) {
+                listed(new NameTable.News(ListKind.CHANGES, names.version(), List.of(line)));
+            }
+        });
+    }
+
     /** The ask or the watch has failed; the module decides when to ask again. */
     public void listFailed(String why) {
         LOG.info("discovery: " + why);
@@ -355,8 +386,12 @@
         clients.values().forEach(this::moveWhileDraining);
         // a relay without clients that stopped at once would lose those who are still being sent to it
         deadlines.at(drainStart + DRAIN_BEGINS, () -> { });
+        deadlines.at(lastMove() + DRAIN_LEFT, this::drainTheRest);
+    }
+
+    private long lastMove() {
         long longest = settings.classes().stream().mapToLong(RequestClass::deadline).max().orElse(0);
-        deadlines.at(drainStart + Math.max(DRAIN_BEGINS + DRAIN_SPAN, longest) + DRAIN_LEFT, this::drainTheRest);
+        return drainStart + Math.max(DRAIN_BEGINS + DRAIN_LEFT, Math.min(longest, DRAIN_LONGEST));
     }
 
     /** Whoever is still there has to be told before the process is killed. */
@@ -372,8 +407,8 @@
     }
 
     private void moveWhileDraining(ServiceClient client) {
-        long earliest = Math.max(now(), drainStart + DRAIN_BEGINS);
-        long latest = Math.max(earliest + 1, drainStart + DRAIN_BEGINS + DRAIN_SPAN);
+        long earliest = Math.max(now(), Math.max(drainStart + DRAIN_BEGINS, lastMove() - DRAIN_SPAN));
+        long latest = Math.max(earliest + 1, lastMove());
         deadlines.at(chance.nextLong(earliest, latest), () -> {
             if (client.execution != null) {
                 client.execution.move(Ending.MOVED);
--- a/src/test/java/sandstack/core/ExecutionTest.java
+++ b/src/test/java/sandstack/core/ExecutionTest.java
@@ -13,6 +13,7 @@
     private final List<Nack> nacks = new ArrayList<>();
     private final List<Execution> begun = new ArrayList<>();
     private int abandoned;
+    private int moved;
     private final Relay relay = new Relay(new Settings(0, 1, 0, 1,
             List.of(new RequestClass(300_000, 2_000_000, 1, Repeat.SAFE, Scope.ALL, 0, 0)), List.of(), 1, false, false,
             false, false, 0, 6, 100_000, false, 1_000_000, false, 0, false, 0, 0, 0, 0, 1, 0, 3, 0, -1), 1, () -> now,
@@ -30,7 +31,9 @@
                 }
 
                 @Override
-                public void move() {}
+                public void move() {
+                    moved++;
+                }
             };
         }
 
@@ -73,6 +76,37 @@
         assertThat(relay.endings()).containsEntry(Ending.NOT_CONNECTED, 1L);
     }
 
+    /** Moved at once, clients of relays that are restarted in turn come to the one that is next, or to none. */
+    @Test
+    void aDrainingRelayKeepsItsClientsAlmostUntilItIsKilled() {
+        begin().up();
+        for (int i = 0; i < 19; i++) {
+            relay.take(new Counting(), new Command("k" + i, 0, 0, null, 1_000_000, 0, false, null));
+        }
+        relay.turn();
+        begun.forEach(Execution::up);
+        relay.drain(() -> { });
+        now += 790_000;
+        relay.turn();
+        assertThat(moved).isZero();
+        now += 700_000;
+        relay.turn();
+        assertThat(moved).isBetween(1, 19);
+        now += 510_000;
+        relay.turn();
+        assertThat(moved).isEqualTo(20);
+    }
+
+    @Test
+    void aServerThatSendsAClientAwayDrainsUntilDiscoveryTellsOrTimePasses() {
+        begin().up();
+        begun.get(0).ended(Ending.SENT_AWAY);
+        assertThat(relay.names().get("s1").entry().phase()).isEqualTo(Phase.DRAINING);
+        now += 10_000_000;
+        relay.turn();
+        assertThat(relay.names().get("s1").entry().phase()).isEqualTo(Phase.READY);
+    }
+
     /** The first ending counts: a front that reports a second one changes nothing. */
     @Test
     void anExecutionEndsOnceAndACommandIsAnsweredOnce() {
