Let a zone keep less while servers elsewhere are used less

At fault: Brain.choose left home only by what is late or marked, never by what stands idle. Now home keeps everything up to a gap of 0.15 between the least used here and there, and nothing beyond 0.3.

--- a/src/main/java/sandstack/decisions/Brain.java
+++ b/src/main/java/sandstack/decisions/Brain.java
@@ -50,6 +50,8 @@
     private static final double USE_SOME = 0.25;
     private static final double USE_FULL = 0.4;
     private static final double USE_WEIGHT = 3;
+    /** Home keeps everything while it is used no more than by this more than others; at twice that, nothing. */
+    private static final double USE_GAP = 0.15;
     /** Used so far, its connections move as those of a slow one do. */
     private static final double USE_OVER = 1.0;
     private static final int MAX_KEYS = 4096;
@@ -452,6 +454,8 @@
         // the share of its servers that are late, unless those elsewhere are late too
         double keep = homeWeight <= 0 ? 0 : usable / (homeWeight * SPILL_BELOW);
         keep = Math.min(keep, 1 - Math.max(0, lateHome - SPILL_LATE) * (1 - lateAway));
+        // and what the least used elsewhere is used less than the least used at home
+        keep = Math.min(keep, 1 - (leastUse(home) - leastUse(away) - USE_GAP) / USE_GAP);
         if (keep >= 1 || uniform() < keep) {
             best = draw(r, home, seed);
         }
@@ -461,6 +465,14 @@
         return best;
     }
 
+    private double leastUse(Server[] among) {
+        double least = 1;
+        for (Server s : among) {
+            least = s.phase == Phase.READY && unmarked(s) ? Math.min(least, use(s)) : least;
+        }
+        return least;
+    }
+
     private Server draw(Request r, Server[] among, long seed) {
         Server best = null;
         double top = Double.NEGATIVE_INFINITY;
--- a/src/test/java/sandstack/decisions/OverloadTest.java
+++ b/src/test/java/sandstack/decisions/OverloadTest.java
@@ -122,6 +122,22 @@
         assertEquals(100, placedAt(rig, 1, "r"), "refused though the other zone is empty");
     }
 
+    @Test
+    void aZoneKeepsLessWhileOthersAreUsedLess() {
+        Rig rig = new Rig(Rig.settings().build(), 6);
+        rig.list(6, 2);
+        for (int s : List.of(0, 1, 3, 4)) {
+            rig.send(new Adopted(rig.ask("c" + s, "c" + s), "s" + s));
+            rig.send(new LoadChanged("c" + s, 0, "s" + s, 100_000));
+        }
+        assertEquals(0, placedAt(rig, 1, "a"), "left home for nothing");
+        for (int s : List.of(0, 1, 3, 4)) {
+            rig.send(new LoadChanged("c" + s, 0, "s" + s, 225_000));
+        }
+        int away = placedAt(rig, 1, "b");
+        assertTrue(away > 20 && away < 80, away + " of 100 placed where servers stand idle");
+    }
+
     /** Sends a request of this group; it gets an error wherever it goes. Returns how many servers it was sent to. */
     private static int poison(Rig rig, String id, String group) {
         rig.send(new ConnectRequest(id, 0, 0, id, group, rig.now + Rig.DEADLINE, 0, false, false));
