--- a/src/main/java/sandstack/decisions/Brain.java
+++ b/src/main/java/sandstack/decisions/Brain.java
@@ -50,7 +50,7 @@
     private static final double USE_SOME = 0.25;
     private static final double USE_FULL = 0.4;
     private static final double USE_WEIGHT = 3;
-    /** Home keeps everything while it is used no more than by this more than others; at twice that, nothing. */
+    /** Home keeps everything while it is used by no more than this above others; at twice that, nothing. */
     private static final double USE_GAP = 0.15;
     /** Used so far, its connections move as those of a slow one do. */
     private static final double USE_OVER = 1.0;
