Count connections whose load is not told yet, and level servers by their heaviest connections

Checked: a trace of the lines on the sockets: a LOAD comes only when a load changes, seconds after UP; feed servers echo each line at once however crowded they are, so answers tell nothing of lateness. Use was measured from told loads alone (Brain.use), its mean from the last few told. Now a connection counts with its class's or the mean load until its own is told, a group's cost is reckoned from the mean of what stands, and once a look the heaviest connection that narrows the gap moves off the server used most here to make room, where the gap is 0.3 or more.

--- a/src/main/java/sandstack/decisions/Brain.java
+++ b/src/main/java/sandstack/decisions/Brain.java
@@ -44,6 +44,9 @@
     private static final double SPILL_LATE = 0.1;
     /** Work a second that a standard core does. */
     private static final double CORE = 1e6;
+    /** What a connection is taken for before its load is told, and with how many such the mean begins. */
+    private static final double GUESS = CORE / 15;
+    private static final int GUESSED = 8;
     /** What a server pays for a group, in mean connections. */
     private static final double GROUP_LOAD = 3;
     /** Used so far, a server takes less than others, and from the second figure on nothing. */
@@ -107,6 +110,8 @@
         int attempts;
         Server at;
         double load;
+        /** What it is taken for while it stands: its load, or a guess until that is told. */
+        double weight;
         boolean probed;
         int probesOut;
         long wake;
@@ -159,7 +164,8 @@
     private double lateAway;
     private double homeRatio = -1;
     private double meanLoad;
-    private double meanTold;
+    private double openWeight;
+    private int openCount;
     private boolean delaysTold;
     private double meanRating = 1;
     private long nextLook;
@@ -410,10 +416,20 @@
         if (delaysTold) {
             return 0;
         }
-        double groups = set.sharedGroups() ? s.groups.size() * GROUP_LOAD * meanTold : 0;
+        double groups = set.sharedGroups() ? s.groups.size() * GROUP_LOAD * meanWeight() : 0;
         return (s.heldLoad + groups) / (s.rating * warmth(s) * CORE);
     }
 
+    /** The mean load of what stands here; a few connections are not yet enough to know it by. */
+    private double meanWeight() {
+        return (openWeight + GUESSED * GUESS) / (openCount + GUESSED);
+    }
+
+    private double guess(Request r) {
+        double ofClass = classLoad[r.ask.requestClass()];
+        return r.load > 0 ? r.load : ofClass > 0 ? ofClass : meanWeight();
+    }
+
     private boolean budgetFor(Server s) {
         double warmth = warmth(s);
         if (warmth >= 1) {
@@ -621,6 +637,7 @@
                 relocate(s);
             }
         }
+        level();
         boolean jam = known > 1 && hot > known * JAMMED;
         boolean calm = shed == 0 && !jam;
         double[] tenantHeld = new double[tenantExcess.length];
@@ -716,7 +733,10 @@
         r.state = State.OPEN;
         r.openedAt = now;
         r.at.held.put(r.ask.id(), r);
-        r.at.heldLoad += r.load;
+        r.weight = guess(r);
+        r.at.heldLoad += r.weight;
+        openWeight += r.weight;
+        openCount++;
         if (r.ask.group() != null) {
             r.at.groups.merge(r.ask.group(), 1, Integer::sum);
         }
@@ -1006,11 +1026,12 @@
     private void loadChanged(LoadChanged e) {
         Request r = requests.get(e.id());
         if (r != null && r.state == State.OPEN) {
-            r.at.heldLoad += e.load() - r.load;
+            r.at.heldLoad += e.load() - r.weight;
+            openWeight += e.load() - r.weight;
             r.load = e.load();
+            r.weight = e.load();
             int c = r.ask.requestClass();
             classLoad[c] += (e.load() - classLoad[c]) * (classLoad[c] == 0 ? 1 : 0.05);
-            meanTold += (e.load() - meanTold) * (meanTold == 0 ? 1 : 0.05);
         }
     }
 
@@ -1056,6 +1077,36 @@
         }
     }
 
+    /**
+     * Few heavy connections make most of a server's load. From the one used most here, the heaviest that
+     * narrows the gap to the one used least moves, one a look: it weighs more than its group costs there.
+     */
+    private void level() {
+        Server most = null;
+        Server least = null;
+        for (Server s : servers.values()) {
+            if (s.phase == Phase.READY && unmarked(s) && warmth(s) >= 1) {
+                most = most == null || use(s) > use(most) ? s : most;
+                least = least == null || use(s) < use(least) ? s : least;
+            }
+        }
+        if (most == null || use(most) < USE_FULL || use(most) - use(least) < 2 * USE_GAP) {
+            return;
+        }
+        double fits = (use(most) - use(least)) / 2 * least.rating * CORE;
+        Request heaviest = null;
+        for (Request r : most.held.values()) {
+            boolean settled = now - r.openedAt > 2 * markSlot;
+            double above = heaviest == null ? GROUP_LOAD * meanWeight() : heaviest.load;
+            if (settled && r.load > above && r.load <= fits) {
+                heaviest = r;
+            }
+        }
+        if (heaviest != null) {
+            out.add(new Relocate(heaviest.ask.id()));
+        }
+    }
+
     // ---- answers ----------------------------------------------------------------------------------
 
     /** Whether one more attempt can do no effect twice. */
@@ -1084,7 +1135,9 @@
 
     private void unhold(Request r) {
         if (r.at != null && r.at.held.remove(r.ask.id()) != null) {
-            r.at.heldLoad -= r.load;
+            r.at.heldLoad -= r.weight;
+            openWeight -= r.weight;
+            openCount--;
             if (r.ask.group() != null) {
                 r.at.groups.computeIfPresent(r.ask.group(), (g, n) -> n > 1 ? n - 1 : null);
             }
--- a/src/test/java/sandstack/decisions/OverloadTest.java
+++ b/src/test/java/sandstack/decisions/OverloadTest.java
@@ -138,6 +138,34 @@
         assertTrue(away > 20 && away < 80, away + " of 100 placed where servers stand idle");
     }
 
+    private static List<Action> look(Rig rig) {
+        rig.now += Rig.DEADLINE / 2;
+        return rig.send(new TimerDue(-99));
+    }
+
+    @Test
+    void theHeaviestThatNarrowsTheGapMovesOffTheMostUsedOneALook() {
+        Rig rig = new Rig(Rig.settings().build(), 6);
+        rig.list(6, 2);
+        for (int i = 0; i < 22; i++) {
+            rig.send(new Adopted(rig.ask("c" + i, "c" + i), "s0"));
+            rig.send(new LoadChanged("c" + i, 0, "s0", i == 1 ? 400_000 : i == 2 ? 200_000 : 5_000));
+        }
+        assertEquals(List.of(), look(rig), "moved what has only just come");
+        look(rig);
+        assertEquals(List.of(new Relocate("c2")), look(rig), "400000 of 700000 would only turn the two round");
+    }
+
+    @Test
+    void connectionsWhoseLoadIsNotToldYetCountAsUse() {
+        Rig rig = new Rig(Rig.settings().build(), 6);
+        rig.list(6, 2);
+        for (int i = 0; i < 60; i++) {
+            rig.send(new Adopted(rig.ask("c" + i, "c" + i), "s" + List.of(0, 1, 3, 4).get(i % 4)));
+        }
+        assertTrue(placedAt(rig, 1, "r") > 90, "placed where 15 stand on each, as nothing is told of them");
+    }
+
     /** Sends a request of this group; it gets an error wherever it goes. Returns how many servers it was sent to. */
     private static int poison(Rig rig, String id, String group) {
         rig.send(new ConnectRequest(id, 0, 0, id, group, rig.now + Rig.DEADLINE, 0, false, false));
