--- a/src/main/java/sandstack/Main.java
+++ b/src/main/java/sandstack/Main.java
@@ -13,8 +13,8 @@
 import sandstack.config.PlatformConfig;
 
 /**
- * Entry point: {@code serve} is the relay, {@code console} the same with a console at the terminal, and
- * {@code simhost} plays the simulator's wire on standard input and output.
+ * Entry point: {@code serve} is the relay, {@code console} the same with a console at the terminal,
+ * {@code simhost} plays the simulator's wire on standard input and output, and {@code rehearse} is for the build.
  */
 public final class Main {
     private Main() {}
@@ -31,10 +31,11 @@
             switch (what) {
                 case "serve" -> service().serve();
                 case "console" -> service().console();
+                case "rehearse" -> service().rehearse();
                 case "simhost" -> new Link().run(new FileInputStream(FileDescriptor.in),
                         new FileOutputStream(FileDescriptor.out));
                 default -> {
-                    System.err.println("usage: java -jar sandstack.jar serve|console|simhost");
+                    System.err.println("usage: java -jar sandstack.jar serve|console|simhost|rehearse");
                     System.exit(2);
                 }
             }
--- a/src/main/java/sandstack/Service.java
+++ b/src/main/java/sandstack/Service.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -72,7 +74,22 @@
         System.exit(0);
     }
 
-    private void start() throws BadSettings, IOException {
+    /**
+     * Starts, asks itself once, and ends: the build archives the classes that this has loaded. Whether the
+     * feed servers of the configuration are there does not matter.
+     */
+    public void rehearse() throws BadSettings, IOException {
+        int port = start();
+        try (Socket client = new Socket(config.listen().host(), port)) {
+            String line = "OPEN rehearsal key c=" + config.classes().get(0) + ",d=300\r\n";
+            client.getOutputStream().write(line.getBytes(StandardCharsets.US_ASCII));
+            client.getInputStream().readAllBytes();
+        }
+        System.exit(0);
+    }
+
+    /** Returns the port at which clients of the platform are served. */
+    private int start() throws BadSettings, IOException {
         // the library's own way with SIGHUP is to end the process
         Signal.handle(new Signal("HUP"), signal -> reload());
         JsonNode amqp = files.enabled("amqp.toml");
@@ -85,7 +102,8 @@
         }
         Lobby lobby = new Lobby(loop, relay.deadlines(), config.sockets() - OTHER_DESCRIPTORS);
         loop.start(relay::turn, relay::nextTurn);
-        listen("lines", config.listen(), new PlatformFront(loop, relay, lobby, config.classes())::listen);
+        int port = listen("lines", config.listen(),
+                new PlatformFront(loop, relay, lobby, config.classes())::listen);
         if (amqpListen != null) {
             listen("AMQP", amqpListen,
                     new AmqpFront(loop, relay, lobby, config.classes(), config.name())::listen);
@@ -94,17 +112,20 @@
             new TenantDirectory(where, list -> loop.execute(() -> relay.tenantsListed(list))).start();
         }
         Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "stop"));
+        return port;
     }
 
-    private void listen(String what, Address at, Listening front) throws BadSettings, IOException {
+    private int listen(String what, Address at, Listening front) throws BadSettings, IOException {
+        int port;
         try {
-            int port = front.listen(at.host(), at.port());
+            port = front.listen(at.host(), at.port());
             listeners.add(what + " at " + at.host() + ":" + port);
         } catch (IOException e) {
             loop.stop();
             throw new BadSettings("cannot listen at " + at + ": " + e.getMessage());
         }
         LOG.info(config.name() + " listens for " + what + " at " + at);
+        return port;
     }
 
     /**
