Take a server for late by estimate only at 0.8 of its use from here, and hardly use it from 0.4

Seen in the incident: while one relay restarts, the other holds what both held, 0.4 to 0.78 of every server's use; it took that for a jam and refused up to 0.9 of its new clients for ten seconds, 70% of those offered. At fault: Brain.room closed a server at 0.4 of use, which stands for others placing as much, and look() counted those as late. Now 0.4 leaves a twentieth of a server's weight, and only 0.8 closes it and counts as late.

--- a/src/main/java/sandstack/decisions/Brain.java
+++ b/src/main/java/sandstack/decisions/Brain.java
@@ -49,9 +49,10 @@
     private static final int GUESSED = 8;
     /** What a server pays for a group, in mean connections. */
     private static final double GROUP_LOAD = 3;
-    /** Used so far, a server takes less than others, and from the second figure on nothing. */
+    /** Used so far, a server takes less than others, next to nothing, and nothing at all. */
     private static final double USE_SOME = 0.25;
     private static final double USE_FULL = 0.4;
+    private static final double USE_LATE = 0.8;
     private static final double USE_WEIGHT = 3;
     /** Home keeps everything while it is used by no more than this above others; at twice that, nothing. */
     private static final double USE_GAP = 0.15;
@@ -403,7 +404,7 @@
     private double room(Server s) {
         if (now - s.delayAt > markSlot * 2 || s.delay * 3 <= tightMessage) {
             double use = use(s);
-            return use >= USE_FULL ? 0 : use >= USE_SOME ? 0.3 : 1;
+            return use >= USE_LATE ? 0 : use >= USE_FULL ? 0.05 : use >= USE_SOME ? 0.3 : 1;
         }
         return s.delay >= tightMessage ? 0 : 0.3;
     }
@@ -585,7 +586,7 @@
 
     /** Late by nothing but what stands there from here. */
     private boolean fullHere(Server s) {
-        return use(s) >= USE_FULL && !marked(s);
+        return use(s) >= USE_LATE && !marked(s);
     }
 
     private boolean late(Server s) {
--- a/src/test/java/sandstack/decisions/OverloadTest.java
+++ b/src/test/java/sandstack/decisions/OverloadTest.java
@@ -166,6 +166,21 @@
         assertTrue(placedAt(rig, 1, "r") > 90, "placed where 15 stand on each, as nothing is told of them");
     }
 
+    /** One relay that stands in for another that restarts holds what both held: that is no overload. */
+    @Test
+    void aFleetHalfUsedFromHereIsNoJam() {
+        Rig rig = new Rig(Rig.settings().build(), 6);
+        rig.list(6, 2);
+        for (int s = 0; s < 6; s++) {
+            rig.send(new Adopted(rig.ask("c" + s, "c" + s), "s" + s));
+            rig.send(new LoadChanged("c" + s, 0, "s" + s, 500_000));
+        }
+        for (int i = 0; i < 4; i++) {
+            look(rig);
+        }
+        assertEquals(100, placedAt(rig, 0, "r") + placedAt(rig, 1, "r"));
+    }
+
     /** Sends a request of this group; it gets an error wherever it goes. Returns how many servers it was sent to. */
     private static int poison(Rig rig, String id, String group) {
         rig.send(new ConnectRequest(id, 0, 0, id, group, rig.now + Rig.DEADLINE, 0, false, false));
