--- a/src/test/java/sandstack/decisions/OverloadTest.java
+++ b/src/test/java/sandstack/decisions/OverloadTest.java
@@ -107,29 +107,29 @@
         return n;
     }
 
-    @Test
-    void aHomeZoneFullByWhatStandsThereIsNoJamWhileOthersHaveRoom() {
+    /** One connection of this load stands on each of these servers. */
+    private static Rig usedBy(int load, Integer... servers) {
         Rig rig = new Rig(Rig.settings().build(), 6);
         rig.list(6, 2);
-        for (int s : List.of(0, 1, 3, 4)) {
+        for (int s : servers) {
             rig.send(new Adopted(rig.ask("c" + s, "c" + s), "s" + s));
-            rig.send(new LoadChanged("c" + s, 0, "s" + s, 600_000));
+            rig.send(new LoadChanged("c" + s, 0, "s" + s, load));
         }
+        return rig;
+    }
+
+    @Test
+    void aHomeZoneFullByWhatStandsThereIsNoJamWhileOthersHaveRoom() {
+        Rig rig = usedBy(900_000, 0, 1, 3, 4);
         for (int i = 0; i < 6; i++) {
-            rig.now += Rig.DEADLINE / 2;
-            rig.send(new TimerDue(-99));
+            look(rig);
         }
         assertEquals(100, placedAt(rig, 1, "r"), "refused though the other zone is empty");
     }
 
     @Test
     void aZoneKeepsLessWhileOthersAreUsedLess() {
-        Rig rig = new Rig(Rig.settings().build(), 6);
-        rig.list(6, 2);
-        for (int s : List.of(0, 1, 3, 4)) {
-            rig.send(new Adopted(rig.ask("c" + s, "c" + s), "s" + s));
-            rig.send(new LoadChanged("c" + s, 0, "s" + s, 100_000));
-        }
+        Rig rig = usedBy(100_000, 0, 1, 3, 4);
         assertEquals(0, placedAt(rig, 1, "a"), "left home for nothing");
         for (int s : List.of(0, 1, 3, 4)) {
             rig.send(new LoadChanged("c" + s, 0, "s" + s, 225_000));
@@ -169,12 +169,7 @@
     /** One relay that stands in for another that restarts holds what both held: that is no overload. */
     @Test
     void aFleetHalfUsedFromHereIsNoJam() {
-        Rig rig = new Rig(Rig.settings().build(), 6);
-        rig.list(6, 2);
-        for (int s = 0; s < 6; s++) {
-            rig.send(new Adopted(rig.ask("c" + s, "c" + s), "s" + s));
-            rig.send(new LoadChanged("c" + s, 0, "s" + s, 500_000));
-        }
+        Rig rig = usedBy(500_000, 0, 1, 2, 3, 4, 5);
         for (int i = 0; i < 4; i++) {
             look(rig);
         }
--- a/src/test/java/sandstack/nametable/DiscoveryWatchTest.java
+++ b/src/test/java/sandstack/nametable/DiscoveryWatchTest.java
@@ -128,6 +128,14 @@
         loop.execute(() -> watch.moveTo(address));
     }
 
+    private void theOneBeforeGoesOnTelling(Socket before) throws Exception {
+        Socket current = socket;
+        socket = before;
+        say(chunk(news(43, "draining") + "\n"));
+        untilPhase(Phase.DRAINING);
+        socket = current;
+    }
+
     @Test
     void movesToAnotherAddressAndKeepsTheListUntilThatOneHasToldIts() throws Exception {
         ask();
@@ -137,11 +145,7 @@
         moveTo(elsewhere);
         // its versions are its own: nothing is asked for from the old one's
         assertThat(ask(elsewhere)).isEqualTo("GET /registry/instances?watch=1 HTTP/1.1");
-        Socket after = socket;
-        socket = before;
-        say(chunk(news(43, "draining") + "\n"));
-        untilPhase(Phase.DRAINING);
-        socket = after;
+        theOneBeforeGoesOnTelling(before);
         say("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
         assertThat(ask(elsewhere)).isEqualTo("GET /registry/instances?watch=1 HTTP/1.1");
         untilPhase(Phase.DRAINING);
@@ -162,11 +166,7 @@
         ask(elsewhere);
         moveTo(listening);
         assertThat(ask()).isEqualTo("GET /registry/instances?watch=1 HTTP/1.1");
-        Socket last = socket;
-        socket = before;
-        say(chunk(news(43, "draining") + "\n"));
-        untilPhase(Phase.DRAINING);
-        socket = last;
+        theOneBeforeGoesOnTelling(before);
         say(HEAD + chunk(news(7, "ready").replace("\"all\":false", "\"all\":true") + "\n"));
         untilPhase(Phase.READY);
     }
