--- a/src/main/java/sandstack/decisions/Brain.java
+++ b/src/main/java/sandstack/decisions/Brain.java
@@ -744,16 +744,16 @@
         goHomeLater(r);
     }
 
-    /**
-     * A connection that stands outside the home zone is paid for by the second. Where servers report their
-     * load and home is known to have room, it moves home at a moment drawn over the longest interval.
-     * Without reports it stays: zones are skewed, and what crosses may be what balances them.
-     */
     /** While set-ups are slow, moves wait: they would add to what slows them. */
     private boolean setUpsQuick() {
         return timeOuts == 0 && setUp < shortestAim / 4;
     }
 
+    /**
+     * A connection that stands outside the home zone is paid for by the second. Where servers report their
+     * load and home is known to have room, it moves home at a moment drawn over the longest interval.
+     * Without reports it stays: zones are skewed, and what crosses may be what balances them.
+     */
     private void goHomeLater(Request r) {
         if (probeCount > 0 && r.at.zone != set.homeZone() && set.crossZonePrice() > set.movePrice()) {
             wake(r, now + (long) (uniform() * (slot << MAX_N)));
--- a/src/main/java/sandstack/net/Lobby.java
+++ b/src/main/java/sandstack/net/Lobby.java
@@ -1,6 +1,5 @@
 package sandstack.net;
 
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import sandstack.core.Deadlines;
@@ -117,7 +116,6 @@
     }
 
     private static Peer oldest(Map<Peer, Stay> among) {
-        Iterator<Peer> peers = among.keySet().iterator();
-        return peers.next();
+        return among.keySet().iterator().next();
     }
 }
