Let the lobby keep its one way out and its one nack, and a guess begin with the known load

Found by reading the change once more: Lobby.leave and Lobby.closed took a peer out by the same steps, both fronts had the same refusal for want of room, Brain.guess wrote Brain.loadOf again, and look() asked for late before fullHere, which implies it.

--- a/src/main/java/sandstack/decisions/Brain.java
+++ b/src/main/java/sandstack/decisions/Brain.java
@@ -427,8 +427,8 @@
     }
 
     private double guess(Request r) {
-        double ofClass = classLoad[r.ask.requestClass()];
-        return r.load > 0 ? r.load : ofClass > 0 ? ofClass : meanWeight();
+        double load = loadOf(r);
+        return load > 0 ? load : meanWeight();
     }
 
     private boolean budgetFor(Server s) {
@@ -611,7 +611,7 @@
             if (s.phase == Phase.READY && (late || !s.held.isEmpty())) {
                 knownAway++;
                 hotAway += late ? 1 : 0;
-                fullAway += late && fullHere(s) ? 1 : 0;
+                fullAway += fullHere(s) ? 1 : 0;
             }
         }
         for (Server s : home) {
@@ -619,7 +619,7 @@
             if (s.phase == Phase.READY && (late || !s.held.isEmpty())) {
                 known++;
                 hot += late ? 1 : 0;
-                full += late && fullHere(s) ? 1 : 0;
+                full += fullHere(s) ? 1 : 0;
             }
         }
         lateHome += known > 1 ? ((double) hot / known - lateHome) / 2 : -lateHome / 4;
--- a/src/main/java/sandstack/front/amqp/AmqpClient.java
+++ b/src/main/java/sandstack/front/amqp/AmqpClient.java
@@ -29,8 +29,6 @@
 
 /** A client's side of AMQP: one connection with its one link is one request. */
 final class AmqpClient extends ServiceClient implements AmqpSocket.Owner, Lobby.Guest {
-    /** A client for whom there is no room comes again after this. */
-    private static final long NO_ROOM_MILLIS = 1000;
 
     private final AmqpFront front;
     private final AmqpSocket socket;
@@ -104,7 +102,7 @@
             return;
         }
         if (!front.lobby().admit(socket.peer())) {
-            nack(new Nack(Nack.Kind.REFUSED, NO_ROOM_MILLIS));
+            nack(Lobby.NO_ROOM);
             return;
         }
         id = new LinkId(connection.getRemoteContainerId(), link.getName(), link.isReceiver());
--- a/src/main/java/sandstack/front/amqp/AmqpFront.java
+++ b/src/main/java/sandstack/front/amqp/AmqpFront.java
@@ -40,9 +40,7 @@
         }
     };
 
-    /**
-     * @param container what the relay calls itself to clients
-     */
+    /** @param container what the relay calls itself to clients */
     public AmqpFront(Loop loop, Relay relay, Lobby lobby, List<String> classes, String container) {
         this.loop = loop;
         this.relay = relay;
--- a/src/main/java/sandstack/front/platform/PlatformClient.java
+++ b/src/main/java/sandstack/front/platform/PlatformClient.java
@@ -11,8 +11,6 @@
 /** A client's side of the line protocol: its first line, its answer, and the passing of lines after UP. */
 final class PlatformClient extends ServiceClient implements Peer.Owner, Lobby.Guest {
     private static final int LONGEST_LINE = 4096;
-    /** A client for whom there is no room comes again after this. */
-    private static final long NO_ROOM_MILLIS = 1000;
 
     private enum State { FIRST_LINE, WAITING, STANDING, LEAVING }
 
@@ -76,7 +74,7 @@
         }
         firstLine = line;
         if (!front.lobby().admit(peer)) {
-            nack(new Nack(Nack.Kind.REFUSED, NO_ROOM_MILLIS));
+            nack(Lobby.NO_ROOM);
             return;
         }
         state = State.WAITING;
@@ -89,7 +87,7 @@
 
     @Override
     public void turnAway() {
-        nack(new Nack(Nack.Kind.REFUSED, NO_ROOM_MILLIS));
+        nack(Lobby.NO_ROOM);
         peer.close();
     }
 
--- a/src/main/java/sandstack/net/Lobby.java
+++ b/src/main/java/sandstack/net/Lobby.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import sandstack.core.Deadlines;
 import sandstack.core.Deadlines.Deadline;
+import sandstack.core.Nack;
 
 /**
  * Keeps the descriptors for those who are served. An accepted peer is a guest until it has asked for something
@@ -12,6 +13,8 @@
  * guests that have been silent longest: peers that say nothing cannot crowd out clients that ask.
  */
 public final class Lobby {
+    /** What a client hears for whom there is no room, or who has not asked in time. */
+    public static final Nack NO_ROOM = new Nack(Nack.Kind.REFUSED, 1000);
     /** Who connects has to ask by then; an error or a close is due after 3 s, whatever came in between. */
     private static final long ASK_WITHIN = 2_500_000;
     /** How long a peer that has had its last word may keep its end open. */
@@ -71,26 +74,27 @@
             return;
         }
         peer.watchedBy(this);
-        Stay stay = guests.remove(peer);
-        if (stay != null) {
-            stay.until.cancel();
-        }
-        Guest guest = stay != null ? stay.guest : admitted.remove(peer);
-        leaving.put(peer, new Stay(guest, deadlines.at(loop.now() + LINGER, peer::close)));
+        leaving.put(peer, new Stay(takeOut(peer), deadlines.at(loop.now() + LINGER, peer::close)));
     }
 
     /** Called once for each socket that was here. */
     void closed(Peer peer) {
-        Stay stay = guests.containsKey(peer) ? guests.remove(peer) : leaving.remove(peer);
-        if (stay != null) {
-            stay.until.cancel();
-        }
-        Guest guest = stay != null ? stay.guest : admitted.remove(peer);
+        Guest guest = takeOut(peer);
         if (guest != null) {
             guest.gone();
         }
     }
 
+    /** Takes the peer from wherever it is; null for one that is no front's guest. */
+    private Guest takeOut(Peer peer) {
+        Stay stay = guests.containsKey(peer) ? guests.remove(peer) : leaving.remove(peer);
+        if (stay == null) {
+            return admitted.remove(peer);
+        }
+        stay.until.cancel();
+        return stay.guest;
+    }
+
     private int taken() {
         return guests.size() + leaving.size() + ADMITTED_DESCRIPTORS * admitted.size();
     }
