--- a/src/main/java/sandstack/front/amqp/AmqpClient.java
+++ b/src/main/java/sandstack/front/amqp/AmqpClient.java
@@ -29,7 +29,6 @@
 
 /** A client's side of AMQP: one connection with its one link is one request. */
 final class AmqpClient extends ServiceClient implements AmqpSocket.Owner, Lobby.Guest {
-
     private final AmqpFront front;
     private final AmqpSocket socket;
     private Connection connection;
