Read a delay told in a LOAD line as a delay, not as the load of an idle connection

Change: LoadLines tells them apart by unit (less than a thousandth of a core is no load) and, where both are possible, by the beat of a second; only where the settings say that delays are told. Relay logs placements, standing times and late servers at FINE.

--- a/src/main/java/sandstack/Service.java
+++ b/src/main/java/sandstack/Service.java
@@ -111,7 +111,7 @@
         Lobby lobby = new Lobby(loop, relay.deadlines(), config.sockets() - OTHER_DESCRIPTORS);
         loop.start(relay::turn, relay::nextTurn);
         int port = listen("lines", config.listen(),
-                new PlatformFront(loop, relay, lobby, config.classes())::listen);
+                new PlatformFront(loop, relay, lobby, config.classes(), config.tellsDelays())::listen);
         if (amqpListen != null) {
             listen("AMQP", amqpListen,
                     new AmqpFront(loop, relay, lobby, config.classes(), config.name())::listen);
--- a/src/main/java/sandstack/config/PlatformConfig.java
+++ b/src/main/java/sandstack/config/PlatformConfig.java
@@ -20,9 +20,10 @@
  *
  * @param known the name table as this relay last had it; null where there is none
  * @param sockets file descriptors that the process may hold
+ * @param tellsDelays whether feed servers tell how long a message takes
  */
 public record PlatformConfig(String name, Address listen, Address discovery, long seed, int sockets,
-        Settings settings, List<String> classes, List<String> zones, NameTable.News known) {
+        Settings settings, boolean tellsDelays, List<String> classes, List<String> zones, NameTable.News known) {
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -99,7 +100,7 @@
                 Address.parse(value(root, env, "listen", "PROXY_LISTEN"), "listen"),
                 Address.parse(value(root, env, "discovery", "PROXY_DISCOVERY"), "discovery"),
                 seed(root.path("seed")), root.path("limits").path("sockets").asInt(4096), reader.settings(),
-                List.copyOf(classes), List.copyOf(zones),
+                settings.path("family_info").path("tells_delay").asBoolean(false), List.copyOf(classes), List.copyOf(zones),
                 known.isObject() ? new NameTableJson(zones, kinds).news(known, true) : null);
     }
 
--- a/src/main/java/sandstack/core/Execution.java
+++ b/src/main/java/sandstack/core/Execution.java
@@ -99,6 +99,13 @@
         }
     }
 
+    /** The feed server told how long a message takes there now, in microseconds. */
+    public void delay(double delay) {
+        if (state == State.STANDING) {
+            relay.delayTold(this, delay);
+        }
+    }
+
     /** The client sent something that the feed server answers at once if it is well. */
     public void clientSpoke() {
         if (state == State.STANDING && spokeAt == 0) {
--- a/src/main/java/sandstack/core/Relay.java
+++ b/src/main/java/sandstack/core/Relay.java
@@ -184,6 +184,9 @@
     private void begin(ServiceClient client, NameTable.Line line, long patience) {
         Execution execution = new Execution(this, client, line, client.executions++, patience);
         client.execution = execution;
+        LOG.fine(() -> "execution " + client.id + "/" + execution.number() + " of " + client.command.key() + " class "
+                + client.command.requestClass() + " group " + client.command.group() + " begins at "
+                + line.entry().server() + (client.command.standingAt() == null ? "" : ", where it stood"));
         execution.start();
     }
 
@@ -245,6 +248,8 @@
         if (client.overdue != null) {
             client.overdue.cancel();
         }
+        LOG.fine(() -> "execution " + client.id + "/" + execution.number() + " stands at "
+                + execution.server().entry().server() + " after " + (now() - execution.began()) + " us");
         if (client.command.standingAt() != null) {
             ready.add(new Adopted(asRequest(client), execution.server().entry().server()));
         } else {
@@ -281,10 +286,18 @@
     }
 
     void loadTold(Execution execution, double load) {
+        LOG.finer(() -> "execution " + execution.client().id + "/" + execution.number() + " loads "
+                + execution.server().entry().server() + " by " + load);
         ready.add(new LoadChanged(execution.client().id, moduleNumber(execution),
                 execution.server().entry().server(), load));
     }
 
+    void delayTold(Execution execution, double delay) {
+        String server = execution.server().entry().server();
+        LOG.fine(() -> "lines at " + server + " take " + Math.round(delay) + " us, as it tells");
+        ready.add(new DelayReported(execution.client().id, moduleNumber(execution), server, delay));
+    }
+
     /**
      * What an answer took is evidence of its feed server. The module hears of it as often as it is used to:
      * at most once a second while the answers are slow, and once more when they are quick again.
@@ -300,6 +313,7 @@
         double mean = pulse.sum / pulse.count;
         boolean late = mean * 3 > tightMessage;
         if (late || pulse.late) {
+            LOG.fine(() -> "lines at " + server + " take " + Math.round(mean) + " us");
             ready.add(new DelayReported(execution.client().id, moduleNumber(execution), server, mean));
             pulse.reportedAt = now();
         }
--- a/src/main/java/sandstack/front/platform/PlatformFront.java
+++ b/src/main/java/sandstack/front/platform/PlatformFront.java
@@ -7,6 +7,7 @@
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
+import sandstack.core.Execution;
 import sandstack.core.NameTable;
 import sandstack.core.Relay;
 import sandstack.net.Lobby;
@@ -19,13 +20,18 @@
     private final List<String> classes;
     private final Lobby lobby;
     private final Set<String> ids = new HashSet<>();
+    private final LoadLines loadLines;
 
-    /** @param classes names of the settings' classes, in their order */
-    public PlatformFront(Loop loop, Relay relay, Lobby lobby, List<String> classes) {
+    /**
+     * @param classes names of the settings' classes, in their order
+     * @param delaysTold whether feed servers tell how long messages take
+     */
+    public PlatformFront(Loop loop, Relay relay, Lobby lobby, List<String> classes, boolean delaysTold) {
         this.loop = loop;
         this.relay = relay;
         this.lobby = lobby;
         this.classes = classes;
+        this.loadLines = new LoadLines(delaysTold);
     }
 
     /** Listens; returns the port. */
@@ -48,6 +54,15 @@
         ids.remove(id);
     }
 
+    /** A feed server has told this figure of a standing execution. */
+    void loadTold(Execution execution, double told) {
+        if (loadLines.isDelay(execution.server().entry().server(), told, now())) {
+            execution.delay(told * 1000);
+        } else {
+            execution.load(told);
+        }
+    }
+
     Loop.Attempted connect(NameTable.Line server, Loop.Connecting told) {
         return loop.connect(server.host(), server.port(), told);
     }
--- a/src/main/java/sandstack/front/platform/ServerWire.java
+++ b/src/main/java/sandstack/front/platform/ServerWire.java
@@ -153,7 +153,7 @@
         lastLine = line;
         if (line.startsWith("LOAD ")) {
             try {
-                execution.load(Double.parseDouble(line.substring(5)));
+                front.loadTold(execution, Double.parseDouble(line.substring(5)));
             } catch (NumberFormatException e) {
                 LOG.fine("a load that is no number");
             }
--- /dev/null
+++ b/src/test/java/sandstack/front/platform/LoadLinesTest.java
@@ -0,0 +1,36 @@
+package sandstack.front.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+class LoadLinesTest {
+    private static final long SECOND = 1_000_000;
+    private final LoadLines lines = new LoadLines(true);
+
+    @Test
+    void aFewHundredIsAMessageThatTakesLongAndNotAConnectionThatDoesNothing() {
+        assertThat(lines.isDelay("a", 273.241, 0)).isTrue();
+        assertThat(lines.isDelay("a", 60_533.68, 100_000)).isFalse();
+        assertThat(lines.isDelay("a", 33.347, SECOND)).isTrue();
+    }
+
+    @Test
+    void whatCouldBeBothIsADelayOnlyWhereTheSecondsBeatGoesOn() {
+        assertThat(lines.isDelay("a", 1_200, 0)).as("out of nothing").isFalse();
+        assertThat(lines.isDelay("a", 980, SECOND)).isTrue();
+        assertThat(lines.isDelay("a", 2_100, SECOND * 2 + 10_000)).as("on the beat").isTrue();
+        assertThat(lines.isDelay("a", 2_500, SECOND * 2 + 400_000)).as("off the beat").isFalse();
+        assertThat(lines.isDelay("b", 2_500, SECOND * 3 + 10_000)).as("another server's beat").isFalse();
+        assertThat(lines.isDelay("a", 3_000, SECOND * 3 + 10_000)).isTrue();
+        assertThat(lines.isDelay("a", 45_000, SECOND * 4 + 10_000)).as("a load on the beat").isFalse();
+    }
+
+    @Test
+    void whereNoDelaysAreToldAllAreLoadsAndNonsenseIsNeverADelay() {
+        assertThat(new LoadLines(false).isDelay("a", 273, 0)).isFalse();
+        assertThat(lines.isDelay("a", Double.NaN, 0)).isFalse();
+        assertThat(lines.isDelay("a", -5, 0)).isFalse();
+        assertThat(lines.isDelay("a", Double.POSITIVE_INFINITY, 0)).isFalse();
+    }
+}
--- a/src/test/java/sandstack/scenario/Stage.java
+++ b/src/test/java/sandstack/scenario/Stage.java
@@ -52,7 +52,7 @@
         loop.start(relay::turn, relay::nextTurn);
         Lobby lobby = new Lobby(loop, relay.deadlines(), SOCKETS);
         port = amqp ? new AmqpFront(loop, relay, lobby, CLASSES, "relay").listen("127.0.0.1", 0)
-                : new PlatformFront(loop, relay, lobby, CLASSES).listen("127.0.0.1", 0);
+                : new PlatformFront(loop, relay, lobby, CLASSES, true).listen("127.0.0.1", 0);
     }
 
     /** Starts feed servers and lists them. */
