Let a fleet fill cold and recovering servers by permits, and move nobody while a delay falls

(3) Moves went on while the delay already fell: 37 connections became 18 in 3 s and the neighbour late.

Change: ColdBudget gives random permits that lapse, at the fleet's rate for that server through the number of relays; a server that was late gets them for 2^9 slots; moves pause while what is piled up works off. LoadLines wants the second's beat to within 20 ms (a load of 6,217 was taken for a delay).

--- a/src/main/java/sandstack/capacity/Estimate.java
+++ b/src/main/java/sandstack/capacity/Estimate.java
@@ -93,6 +93,12 @@
         return work <= 0 ? 0 : (held + groups * stated.group() * all.mean()) / work;
     }
 
+    /** How many usual connections fill this server when it is warm: as stated, else by what stands here. */
+    public double fills() {
+        double most = rating * (stated.work() > 0 ? stated.work() / all.mean() : stated.connections());
+        return most > 0 ? most : (standing + 1) * (double) all.relays();
+    }
+
     /** What so much more use is worth in load. */
     public double load(double use) {
         return use * rating * stated.work();
--- a/src/main/java/sandstack/core/Relay.java
+++ b/src/main/java/sandstack/core/Relay.java
@@ -363,6 +363,7 @@
         names.apply(news);
         ready.add(new ServerList(news.kind(), news.entries()));
         for (NameTable.Line line : news.lines()) {
+            LOG.fine(() -> "name table " + news.kind() + " " + news.version() + ": " + line);
             if (news.kind() == ListKind.CHANGES) {
                 LOG.info("name table: " + line.entry().server() + " is " + line.entry().phase());
             }
--- a/src/main/java/sandstack/decisions/Brain.java
+++ b/src/main/java/sandstack/decisions/Brain.java
@@ -168,9 +168,7 @@
         r.attempts++;
         s.estimate.sent();
         s.gate.through();
-        if (s.warmth(f) < 1) {
-            s.cold.spend();
-        }
+        s.cold.spend();
         if (s.fails > 0) {
             s.trialOut = true;
         }
--- a/src/main/java/sandstack/decisions/Draw.java
+++ b/src/main/java/sandstack/decisions/Draw.java
@@ -12,10 +12,6 @@
     private static final double SPILL_BELOW = 0.5;
     /** Home also keeps everything while this part of its servers, or less, is late. */
     private static final double SPILL_LATE = 0.1;
-    /** Part of what would push a cold server over that all balancers together may send it. */
-    private static final double COLD_MARGIN = 0.5;
-    /** Part of that budget which the balancers of its own zone may spend. */
-    private static final double COLD_HOME_SHARE = 0.75;
     /** What a server that holds some of the group weighs more in the draw for one of its connections. */
     private static final double HOLDER_WEIGHT = 8;
     private static final double USE_WEIGHT = 3;
@@ -48,15 +44,22 @@
 
     private boolean budgetFor(Server s) {
         double warmth = s.warmth(f);
-        if (warmth >= 1) {
+        long recovers = f.slot << BackOffs.MAX_N + 1;
+        boolean cold = warmth < 1;
+        if (!cold && f.now - s.lateAt > recovers) {
             return true;
         }
-        // fresh arrivals only: in a storm of returning clients the rate of attempts says nothing of capacity
-        double elapsed = Math.max(f.now - f.started, f.set.tipAfter());
-        double perServer = fleet.isHome(s) ? COLD_HOME_SHARE / fleet.home.length
-                : (1 - COLD_HOME_SHARE) / fleet.away.length;
-        double rate = arrivals / elapsed * perServer * f.set.tipMultiple() * COLD_MARGIN * warmth;
-        return s.cold.allows(rate, f.now);
+        boolean home = fleet.isHome(s);
+        // a relay of many sees few arrivals: by those alone a cold server would idle until it is warm
+        double rate = s.estimate.fills() / (cold ? f.set.warmAfter() : recovers)
+                * ColdBudget.part(home, f.set.instances(), f.set.zones());
+        if (cold) {
+            // fresh ones only: in a storm of returning clients the rate of attempts says nothing of capacity
+            double fresh = arrivals / (double) Math.max(f.now - f.started, f.set.tipAfter());
+            fresh *= ColdBudget.zonePart(home) / (home ? fleet.home : fleet.away).length;
+            rate = Math.max(rate, fresh) * ColdBudget.MARGIN * f.set.tipMultiple() * warmth;
+        }
+        return s.cold.allows(rate, f.set.tipAfter(), f.now, f::uniform);
     }
 
     /** The server for this request. Null where none can take it. */
@@ -118,7 +121,7 @@
     }
 
     private double score(Request r, Server s, double room, long seed) {
-        double score = Math.log(Chance.unit(Chance.mix(seed ^ s.hash))) / (s.rating * s.warmth(f));
+        double score = Math.log(Chance.unit(Chance.mix(seed ^ s.hash))) / s.rating;
         if (r.ask.group() != null) {
             // where the group already stands it is paid for: before any other server
             score /= room * (s.groups.containsKey(r.ask.group()) ? HOLDER_WEIGHT : 1);
--- a/src/main/java/sandstack/decisions/Moves.java
+++ b/src/main/java/sandstack/decisions/Moves.java
@@ -52,13 +52,18 @@
     }
 
     void delayTold(Server s, double delay) {
+        // what is piled up there already works off: moves that go on until it has would empty the server
+        boolean falls = delay < s.delay && f.now - s.delayAt <= f.markSlot * 2;
         room.delayTold(s, delay);
         if (delay < f.tightMessage) {
             s.moveN = 0;
             s.moveEnd = 0;
             return;
         }
-        relocate(s);
+        s.lateAt = f.now;
+        if (!falls) {
+            relocate(s);
+        }
     }
 
     /** What a look at the whole moves. */
--- a/src/main/java/sandstack/decisions/Server.java
+++ b/src/main/java/sandstack/decisions/Server.java
@@ -28,6 +28,8 @@
 
     double delay;
     long delayAt = Long.MIN_VALUE / 2;
+    /** When its messages last took too long. */
+    long lateAt = Long.MIN_VALUE / 2;
     final Estimate estimate;
     final Gate gate;
     final ColdBudget cold = new ColdBudget();
@@ -103,6 +105,6 @@
         markedUntil = 0;
         delay = 0;
         estimate.restarted();
-        cold.restarted(f.uniform(), f.now);
+        cold.restarted(f.now);
     }
 }
--- a/src/main/java/sandstack/front/platform/LoadLines.java
+++ b/src/main/java/sandstack/front/platform/LoadLines.java
@@ -21,7 +21,7 @@
     /** Milliseconds that no client waits for a message. Above them it is a load whenever it comes. */
     private static final double LONGEST_DELAY = 10_000;
     private static final long PACE = 1_000_000;
-    private static final long PACE_SLACK = 50_000;
+    private static final long PACE_SLACK = 20_000;
     private static final int MOST_KEPT = 4096;
 
     private final boolean delaysTold;
