Use permits for cold servers when they come; pause moves only where a delay falls fast

Change: a permit makes a cold server weigh four times as much, and the fleet's margin is three quarters of the rule's budget, of which about a third is sent. Moves pause only where the delay will be below the aim two reports on.

--- a/src/main/java/sandstack/capacity/ColdBudget.java
+++ b/src/main/java/sandstack/capacity/ColdBudget.java
@@ -12,8 +12,13 @@
  * the number of relays, looked at when there is something to send.
  */
 public final class ColdBudget {
-    /** Part of what would push a cold server over that all relays together may send it. */
-    public static final double MARGIN = 0.5;
+    /**
+     * Part of what would push a cold server over that all relays together may send it. Permits lapse unused with most
+     * relays, as none of their clients comes in time: sent is about a third of that.
+     */
+    public static final double MARGIN = 0.75;
+    /** What a permit for a cold server makes it weigh against warm ones: it lapses, and their room does not. */
+    private static final double PULL = 4;
     private static final double HOME_SHARE = 0.75;
     private long at;
     private long until = Long.MIN_VALUE;
@@ -47,6 +52,11 @@
         until = Long.MIN_VALUE;
     }
 
+    /** What a server of this warmth weighs in a draw, once there is a permit where it needs one. */
+    public static double pull(double warmth) {
+        return warmth < 1 ? PULL : 1;
+    }
+
     /** The part of a server's budget for the relays of its own zone together, or for all others together. */
     public static double zonePart(boolean home) {
         return home ? HOME_SHARE : 1 - HOME_SHARE;
--- a/src/main/java/sandstack/decisions/Draw.java
+++ b/src/main/java/sandstack/decisions/Draw.java
@@ -45,15 +45,14 @@
     private boolean budgetFor(Server s) {
         double warmth = s.warmth(f);
         long recovers = f.slot << BackOffs.MAX_N + 1;
-        boolean cold = warmth < 1;
-        if (!cold && f.now - s.lateAt > recovers) {
+        if (warmth >= 1 && f.now - s.lateAt > recovers) {
             return true;
         }
         boolean home = fleet.isHome(s);
         // a relay of many sees few arrivals: by those alone a cold server would idle until it is warm
-        double rate = s.estimate.fills() / (cold ? f.set.warmAfter() : recovers)
+        double rate = s.estimate.fills() / (warmth < 1 ? f.set.warmAfter() : recovers)
                 * ColdBudget.part(home, f.set.instances(), f.set.zones());
-        if (cold) {
+        if (warmth < 1) {
             // fresh ones only: in a storm of returning clients the rate of attempts says nothing of capacity
             double fresh = arrivals / (double) Math.max(f.now - f.started, f.set.tipAfter());
             fresh *= ColdBudget.zonePart(home) / (home ? fleet.home : fleet.away).length;
@@ -121,7 +120,8 @@
     }
 
     private double score(Request r, Server s, double room, long seed) {
-        double score = Math.log(Chance.unit(Chance.mix(seed ^ s.hash))) / s.rating;
+        double score = Math.log(Chance.unit(Chance.mix(seed ^ s.hash)));
+        score /= s.rating * ColdBudget.pull(s.warmth(f));
         if (r.ask.group() != null) {
             // where the group already stands it is paid for: before any other server
             score /= room * (s.groups.containsKey(r.ask.group()) ? HOLDER_WEIGHT : 1);
--- a/src/main/java/sandstack/decisions/Moves.java
+++ b/src/main/java/sandstack/decisions/Moves.java
@@ -53,7 +53,7 @@
 
     void delayTold(Server s, double delay) {
         // what is piled up there already works off: moves that go on until it has would empty the server
-        boolean falls = delay < s.delay && f.now - s.delayAt <= f.markSlot * 2;
+        boolean falls = 3 * delay - 2 * s.delay < f.tightMessage && f.now - s.delayAt <= f.markSlot * 2;
         room.delayTold(s, delay);
         if (delay < f.tightMessage) {
             s.moveN = 0;
