--- a/src/main/java/sandstack/capacity/ColdBudget.java
+++ b/src/main/java/sandstack/capacity/ColdBudget.java
@@ -13,8 +13,8 @@
  */
 public final class ColdBudget {
     /**
-     * Part of what would push a cold server over that all relays together may send it. Permits lapse unused with most
-     * relays, as none of their clients comes in time: sent is about a third of that.
+     * Part of what would push a cold server over that all relays together may send it. Many permits lapse unused, where
+     * none of a relay's clients comes in time.
      */
     public static final double MARGIN = 0.75;
     /** What a permit for a cold server makes it weigh against warm ones: it lapses, and their room does not. */
