Report a delay in one place, take the fleet test's figures from the rig, wrap long lines

Need: at the last reading the relay logged and reported a delay in two places, and FleetTest wrote the rig's settings and the stated loads down again, where they could drift apart.

Change: both ways to learn of a delay go through one method; the test reads the settings and the stated capacity; three lines over 120 characters are wrapped. Behaviour, log lines and assertions are as before.

--- a/src/main/java/sandstack/capacity/ColdBudget.java
+++ b/src/main/java/sandstack/capacity/ColdBudget.java
@@ -3,10 +3,10 @@
 import java.util.function.DoubleSupplier;
 
 /**
- * What one relay may send a server that is cold, or that has just been late: permits that come at random at this relay's part of the rate that the
- * whole fleet is allowed, hold for a moment and then lapse. Permits of many relays would otherwise gather while
- * nothing is asked for, and be spent together in the first crowd; lapsing keeps what the fleet can spend at once to
- * what it may spend in one such moment, without a word between the relays.
+ * What one relay may send a server that is cold, or that has just been late: permits that come at random at this
+ * relay's part of the rate that the whole fleet is allowed, hold for a moment and then lapse. Permits of many relays
+ * would otherwise gather while nothing is asked for, and be spent together in the first crowd; lapsing keeps what the
+ * fleet can spend at once to what it may spend in one such moment, without a word between the relays.
  *
  * <p>Owned by the module's record of the server; one thread; O(1). The method is our own: a Poisson process thinned by
  * the number of relays, looked at when there is something to send.
--- a/src/main/java/sandstack/config/PlatformConfig.java
+++ b/src/main/java/sandstack/config/PlatformConfig.java
@@ -100,7 +100,8 @@
                 Address.parse(value(root, env, "listen", "PROXY_LISTEN"), "listen"),
                 Address.parse(value(root, env, "discovery", "PROXY_DISCOVERY"), "discovery"),
                 seed(root.path("seed")), root.path("limits").path("sockets").asInt(4096), reader.settings(),
-                settings.path("family_info").path("tells_delay").asBoolean(false), List.copyOf(classes), List.copyOf(zones),
+                settings.path("family_info").path("tells_delay").asBoolean(false), List.copyOf(classes),
+                List.copyOf(zones),
                 known.isObject() ? new NameTableJson(zones, kinds).news(known, true) : null);
     }
 
--- a/src/main/java/sandstack/core/Relay.java
+++ b/src/main/java/sandstack/core/Relay.java
@@ -293,8 +293,12 @@
     }
 
     void delayTold(Execution execution, double delay) {
+        delayed(execution, delay, ", as it tells");
+    }
+
+    private void delayed(Execution execution, double delay, String source) {
         String server = execution.server().entry().server();
-        LOG.fine(() -> "lines at " + server + " take " + Math.round(delay) + " us, as it tells");
+        LOG.fine(() -> "lines at " + server + " take " + Math.round(delay) + " us" + source);
         ready.add(new DelayReported(execution.client().id, moduleNumber(execution), server, delay));
     }
 
@@ -313,8 +317,7 @@
         double mean = pulse.sum / pulse.count;
         boolean late = mean * 3 > tightMessage;
         if (late || pulse.late) {
-            LOG.fine(() -> "lines at " + server + " take " + Math.round(mean) + " us");
-            ready.add(new DelayReported(execution.client().id, moduleNumber(execution), server, mean));
+            delayed(execution, mean, "");
             pulse.reportedAt = now();
         }
         pulse.late = late;
--- a/src/test/java/sandstack/decisions/FleetTest.java
+++ b/src/test/java/sandstack/decisions/FleetTest.java
@@ -16,17 +16,15 @@
 import sandstack.decisions.Decisions.Established;
 import sandstack.decisions.Decisions.Phase;
 import sandstack.decisions.Decisions.Relocate;
+import sandstack.decisions.Decisions.Settings;
 
 /** Fourteen modules in one simulated clock: bounds on what feed servers get from all of them together. */
 class FleetTest {
     private static final int RELAYS = 14;
     private static final long STEP = 100_000;
-    private static final long TIP_AFTER = 2_000_000;
-    private static final double TIP_MULTIPLE = 3;
-    private static final double COLD_FROM = 0.3;
-    private static final long WARM_AFTER = 8_000_000;
+    private static final Settings SET = Rig.settings().build();
     /** Usual connections that fill a server, by what the platform's file states. */
-    private static final double FILLS = 15;
+    private static final double FILLS = Rig.PLATFORM.other().work() / Rig.PLATFORM.other().load();
 
     private final List<Rig> relays = new ArrayList<>();
     private final Random chance = new Random(17);
@@ -67,7 +65,7 @@
     }
 
     private static double warmth(long age) {
-        return Math.min(1, COLD_FROM + (1 - COLD_FROM) * age / WARM_AFTER);
+        return Math.min(1, SET.coldFrom() + (1 - SET.coldFrom()) * age / SET.warmAfter());
     }
 
     /** Six in ten servers are replaced within 7 s: by a relay's own arrivals the new ones stood idle until warm. */
@@ -100,8 +98,9 @@
             cold += times.size();
             for (int i = 0; i < times.size(); i++) {
                 long from = times.get(i);
-                long inWindow = times.stream().filter(t -> t >= from && t < from + TIP_AFTER).count();
-                double budget = TIP_MULTIPLE * FILLS / WARM_AFTER * TIP_AFTER * warmth(from - s.getValue());
+                long inWindow = times.stream().filter(t -> t >= from && t < from + SET.tipAfter()).count();
+                double budget = SET.tipMultiple() * FILLS / SET.warmAfter() * SET.tipAfter()
+                        * warmth(from - s.getValue());
                 // a Poisson number of permits around half the budget stays under it and three more
                 assertThat((double) inWindow).as(s.getKey()).isLessThanOrEqualTo(budget + 3);
             }
@@ -131,12 +130,12 @@
             }
         }
         int first = sent.getOrDefault("s0", List.of()).size();
-        assertThat(first).as("in the first second, of %d", offered).isLessThan((int) FILLS);
+        assertThat(first).as("in the first second, of %d", offered).isLessThan((int) Math.round(FILLS));
         for (int step = 0; step < 140; step++) {
             advance();
             client();
         }
-        assertThat(sent.get("s0").size()).as("later").isGreaterThan(first + (int) FILLS);
+        assertThat(sent.get("s0").size()).as("later").isGreaterThan(first + (int) Math.round(FILLS));
     }
 
     @Test
