Take clients at an inherited listening socket, and answer PING at a door for operators

Cause: the new process of an upgrade ended with exit code 2, as Service.start bound the address that the old one holds.

With PROXY_SOCKET_FD=0 the relay accepts at descriptor 0, once it can serve: a list names a feed server and discovery has answered, or a second has passed. At SIGTERM it stops accepting without touching the socket and waits for those that it has accepted and not heard. PROXY_OPERATOR, or operator in the configuration, opens a door that answers PING; 24 callers at most, with descriptors of their own. A relay started without any list asks discovery by itself now.

Measured: UpgradeTest (three real processes, two upgrades one after another, clients coming throughout): nobody turned back, no second set-up, every client moved; before, the second process ends with 2.

--- a/src/main/java/sandstack/Service.java
+++ b/src/main/java/sandstack/Service.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,9 +19,12 @@
 import sandstack.config.PlatformConfig.Address;
 import sandstack.console.Commands;
 import sandstack.console.Console;
+import sandstack.core.NameTable;
 import sandstack.core.Relay;
+import sandstack.decisions.Decisions.ListKind;
 import sandstack.directory.TenantDirectory;
 import sandstack.front.amqp.AmqpFront;
+import sandstack.front.operators.OperatorDoor;
 import sandstack.front.platform.PlatformFront;
 import sandstack.nametable.DiscoveryWatch;
 import sandstack.net.Lobby;
@@ -32,6 +36,9 @@
     private static final Logger LOG = Logger.getLogger("sandstack.service");
     /** Descriptors that are not sockets of clients and servers: listeners, the selector, discovery, files. */
     private static final int OTHER_DESCRIPTORS = 48;
+    /** A process that inherits its clients' socket waits so long for discovery before it serves by an older list. */
+    private static final long LIST_WITHIN = 1_000_000;
+    private static final long LOOK_AGAIN = 20_000;
     /** Last words are on their way so long after the last client has gone. */
     private static final long LAST_WORDS = 150_000;
 
@@ -43,6 +50,10 @@
     private final DiscoveryWatch watch;
     private final List<String> listeners = new ArrayList<>();
     private final CountDownLatch drained = new CountDownLatch(1);
+    private final Lobby lobby;
+    private final PlatformFront platform;
+    private boolean accepting;
+    private long startedAt;
 
     /** What a front's listen is. */
     private interface Listening {
@@ -62,6 +73,9 @@
                 loop::now, this::askDiscovery);
         this.watch = new DiscoveryWatch(loop, relay, config.discovery(),
                 new NameTableJson(config.zones(), kinds));
+        int kept = OTHER_DESCRIPTORS + (config.operator() == null ? 0 : OperatorDoor.MOST);
+        this.lobby = new Lobby(loop, relay.deadlines(), config.sockets() - kept);
+        this.platform = new PlatformFront(loop, relay, lobby, config.classes(), config.tellsDelays());
     }
 
     private void askDiscovery() {
@@ -105,13 +119,23 @@
         TenantDirectory.Where where = directory == null ? null : TenantDirectory.Where.read(directory);
         Address amqpListen = amqp == null ? null
                 : Address.parse(OwnFiles.text(amqp, "listen", "amqp.toml"), "amqp.toml: listen");
-        if (config.known() != null) {
-            relay.listed(config.known());
+        if (config.inherits() && !(System.inheritedChannel() instanceof ServerSocketChannel)) {
+            throw new BadSettings("PROXY_SOCKET_FD is 0, but descriptor 0 is no listening socket");
         }
-        Lobby lobby = new Lobby(loop, relay.deadlines(), config.sockets() - OTHER_DESCRIPTORS);
+        relay.listed(config.known() != null ? config.known() : new NameTable.News(ListKind.SAVED, -1, List.of()));
+        startedAt = loop.now();
         loop.start(relay::turn, relay::nextTurn);
-        int port = listen("lines", config.listen(),
-                new PlatformFront(loop, relay, lobby, config.classes(), config.tellsDelays())::listen);
+        if (config.operator() != null) {
+            listen("operators", config.operator(),
+                    new OperatorDoor(loop, relay.deadlines(), this::hindrance, List::of)::listen);
+        }
+        int port = 0;
+        if (config.inherits()) {
+            loop.execute(this::acceptOnceItCanServe);
+        } else {
+            port = listen("lines", config.listen(), platform::listen);
+            accepting = true;
+        }
         if (amqpListen != null) {
             listen("AMQP", amqpListen,
                     new AmqpFront(loop, relay, lobby, config.classes(), config.name())::listen);
@@ -123,6 +147,32 @@
         return port;
     }
 
+    /** Why this process cannot serve now; null where it can. On the loop's thread. */
+    private String hindrance() {
+        return relay.draining() ? "draining" : !relay.names().usable() ? "no feed server is listed"
+                : accepting ? null : "discovery has not answered yet";
+    }
+
+    /** Another process serves at the inherited socket meanwhile: a client taken too early waits longer here. */
+    private void acceptOnceItCanServe() {
+        boolean waited = loop.now() - startedAt >= LIST_WITHIN;
+        if (!relay.names().usable() || !relay.names().told() && !waited) {
+            relay.deadlines().at(loop.now() + LOOK_AGAIN, this::acceptOnceItCanServe);
+            return;
+        }
+        if (relay.draining()) {
+            return;
+        }
+        try {
+            int port = platform.inherit();
+            accepting = true;
+            listeners.add("lines at the inherited socket, port " + port);
+            LOG.info(config.name() + " listens for lines at the inherited socket, port " + port);
+        } catch (IOException e) {
+            LOG.severe("the inherited socket cannot be used: " + e.getMessage());
+        }
+    }
+
     private int listen(String what, Address at, Listening front) throws BadSettings, IOException {
         int port;
         try {
@@ -152,7 +202,12 @@
 
     /** On SIGTERM: moves the clients away first. */
     private void stop() {
-        loop.execute(() -> relay.drain(drained::countDown));
+        loop.execute(() -> {
+            if (config.inherits() && accepting) {
+                pauseAccepting();
+            }
+            relay.drain(lobby::unheard, drained::countDown);
+        });
         await(drained);
         CountDownLatch lastWords = new CountDownLatch(1);
         loop.execute(() -> relay.deadlines().at(loop.now() + LAST_WORDS, lastWords::countDown));
@@ -160,6 +215,15 @@
         LOG.info("stopped");
     }
 
+    /** Whoever waits at a socket that other processes have too is theirs. */
+    private void pauseAccepting() {
+        try {
+            platform.pause();
+        } catch (IOException e) {
+            LOG.warning("accepting cannot be stopped: " + e.getMessage());
+        }
+    }
+
     private static void await(CountDownLatch latch) {
         try {
             latch.await();
--- a/src/main/java/sandstack/config/PlatformConfig.java
+++ b/src/main/java/sandstack/config/PlatformConfig.java
@@ -15,15 +15,17 @@
 import sandstack.decisions.Decisions.Settings;
 
 /**
- * What the platform tells a relay: the file that PROXY_CONFIG names, and the three variables beside it, which
- * come before the file.
+ * What the platform tells a relay: the file that PROXY_CONFIG names, and the variables beside it, which come
+ * before the file.
  *
+ * @param operator where operators are answered; null where they are not
+ * @param inherits clients come at a listening socket that the process has inherited as descriptor 0
  * @param known the name table as this relay last had it; null where there is none
  * @param sockets file descriptors that the process may hold
  * @param tellsDelays whether feed servers tell how long a message takes
  */
-public record PlatformConfig(String name, Address listen, Address discovery, long seed, int sockets,
-        Settings settings, boolean tellsDelays, List<String> classes, List<String> zones, NameTable.News known) {
+public record PlatformConfig(String name, Address listen, Address discovery, Address operator, boolean inherits,
+        long seed, int sockets, Settings settings, boolean tellsDelays, List<String> classes, List<String> zones, NameTable.News known) {
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -96,15 +98,28 @@
         List<String> zones = new ArrayList<>();
         settings.path("zones").forEach(z -> zones.add(z.asText()));
         JsonNode known = root.path("known");
+        String operator = env.getOrDefault("PROXY_OPERATOR", root.path("operator").asText(""));
         return new PlatformConfig(env.getOrDefault("PROXY_NAME", root.path("name").asText("relay")),
                 Address.parse(value(root, env, "listen", "PROXY_LISTEN"), "listen"),
                 Address.parse(value(root, env, "discovery", "PROXY_DISCOVERY"), "discovery"),
+                operator.isEmpty() ? null : Address.parse(operator, "operator"), inherits(env.get("PROXY_SOCKET_FD")),
                 seed(root.path("seed")), root.path("limits").path("sockets").asInt(4096), reader.settings(),
                 settings.path("family_info").path("tells_delay").asBoolean(false), List.copyOf(classes),
                 List.copyOf(zones),
                 known.isObject() ? new NameTableJson(zones, kinds).news(known, true) : null);
     }
 
+    /** The virtual machine can take descriptor 0 and no other. */
+    private static boolean inherits(String descriptor) throws BadSettings {
+        if (descriptor == null || descriptor.isEmpty()) {
+            return false;
+        }
+        if (!descriptor.equals("0")) {
+            throw new BadSettings("PROXY_SOCKET_FD is " + descriptor + "; only descriptor 0 can be taken");
+        }
+        return true;
+    }
+
     private static String value(JsonNode root, Map<String, String> env, String field, String variable)
             throws BadSettings {
         String text = env.getOrDefault(variable, root.path(field).asText(""));
--- a/src/main/java/sandstack/core/NameTable.java
+++ b/src/main/java/sandstack/core/NameTable.java
@@ -28,12 +28,14 @@
 
     private final Map<String, Line> lines = new LinkedHashMap<>();
     private long version = -1;
+    private boolean told;
 
     void apply(News news) {
         if (news.kind() != ListKind.CHANGES) {
             lines.clear();
         }
         version = news.version();
+        told |= news.kind() != ListKind.SAVED;
         for (Line line : news.lines()) {
             if (line.entry().phase() == Phase.GONE) {
                 lines.remove(line.entry().server());
@@ -52,6 +54,16 @@
         return lines.values();
     }
 
+    /** Whether discovery has told anything since the start. */
+    public boolean told() {
+        return told;
+    }
+
+    /** Whether a feed server is listed that takes clients. */
+    public boolean usable() {
+        return lines.values().stream().anyMatch(line -> line.entry().phase() == Phase.READY);
+    }
+
     /** Version of the list; -1 before any has come. */
     public long version() {
         return version;
--- a/src/main/java/sandstack/core/Relay.java
+++ b/src/main/java/sandstack/core/Relay.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import java.util.logging.Logger;
 import sandstack.capacity.Cause;
@@ -81,6 +82,7 @@
     private List<Event> ready = new ArrayList<>();
     private long lastId;
     private Runnable drained;
+    private IntSupplier unheard = () -> 0;
     private long drainStart;
     private final java.util.SplittableRandom chance;
 
@@ -130,7 +132,8 @@
             }
             actions.forEach(this::carryOut);
         }
-        if (drained != null && clients.isEmpty() && now >= drainStart + DRAIN_BEGINS) {
+        if (drained != null && clients.isEmpty() && now >= drainStart + DRAIN_BEGINS
+                && (unheard.getAsInt() == 0 || now >= lastMove() + DRAIN_LEFT)) {
             Runnable told = drained;
             drained = null;
             told.run();
@@ -407,11 +410,17 @@
 
     // ---- draining ---------------------------------------------------------------------------------
 
-    /** Moves all clients away and answers all commands; then calls back, once. */
-    public void drain(Runnable whenDrained) {
+    /**
+     * Moves all clients away and answers all commands; then calls back, once.
+     *
+     * @param unheardPeers how many have been accepted whose command has not come yet: they are waited for, as
+     *     nobody else can hear them out
+     */
+    public void drain(IntSupplier unheardPeers, Runnable whenDrained) {
         if (drained != null) {
             return;
         }
+        unheard = unheardPeers;
         LOG.info("draining: " + clients.size() + " clients to move or answer");
         drained = whenDrained;
         drainStart = now();
--- a/src/main/java/sandstack/front/amqp/AmqpFront.java
+++ b/src/main/java/sandstack/front/amqp/AmqpFront.java
@@ -57,7 +57,7 @@
                 new AmqpClient(AmqpFront.this, Loop.peer(context));
                 return context.getStopAction();
             }
-        }));
+        })).port();
     }
 
     Loop.Attempted connect(NameTable.Line server, Loop.Connecting told) {
--- /dev/null
+++ b/src/main/java/sandstack/front/operators/OperatorDoor.java
@@ -0,0 +1,142 @@
+package sandstack.front.operators;
+
+import java.io.IOException;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import sandstack.core.Deadlines;
+import sandstack.net.Loop;
+import sandstack.net.Peer;
+
+/**
+ * Listens for operators: each connection carries one call, a line, and gets one answer that begins with {@code ACK} or
+ * {@code NAK}. Owns its callers, at most {@value #MOST} of them, whose descriptors no client draws on. Lives on the
+ * loop's thread; an accepted caller, a call and an eviction cost O(1), {@code INFO} O(classes and feed servers).
+ */
+public final class OperatorDoor {
+    /** Callers at one time; of more, the one that came first goes. */
+    public static final int MOST = 24;
+    private static final int LONGEST_LINE = 4096;
+    /** Who calls has to have said it by then: long enough for a person at a keyboard. */
+    private static final long ASK_WITHIN = 10_000_000;
+    /** How long a caller that has been answered may keep its end open. */
+    private static final long LINGER = 1_000_000;
+
+    private final Loop loop;
+    private final Deadlines deadlines;
+    private final Supplier<String> hindrance;
+    private final Supplier<List<String>> figures;
+    private final Set<Caller> callers = new LinkedHashSet<>();
+
+    /**
+     * @param hindrance why this process cannot serve; null once it can
+     * @param figures the figures, a line each
+     */
+    public OperatorDoor(Loop loop, Deadlines deadlines, Supplier<String> hindrance, Supplier<List<String>> figures) {
+        this.loop = loop;
+        this.deadlines = deadlines;
+        this.hindrance = hindrance;
+        this.figures = figures;
+    }
+
+    /** Listens; returns the port. */
+    public int listen(String host, int port) throws IOException {
+        return loop.listen(host, port, loop.chain(new BaseFilter() {
+            @Override
+            public NextAction handleAccept(FilterChainContext context) {
+                entered(new Caller(Loop.peer(context)));
+                return context.getStopAction();
+            }
+        })).port();
+    }
+
+    private void entered(Caller caller) {
+        callers.add(caller);
+        if (callers.size() > MOST) {
+            callers.iterator().next().over();
+        }
+    }
+
+    private String answer(String line) {
+        switch (line) {
+            case "PING":
+                String why = hindrance.get();
+                return why == null ? "ACK\r\n" : "NAK " + why + "\r\n";
+            case "INFO":
+                return "ACK\r\n" + String.join("\r\n", figures.get()) + "\r\n--\r\n";
+            default:
+                return "NAK no such call; there are PING and INFO\r\n";
+        }
+    }
+
+    /** One caller, from its connection to its end. */
+    private final class Caller implements Peer.Owner {
+        private final Peer peer;
+        private Deadlines.Deadline until;
+        private boolean answered;
+
+        Caller(Peer peer) {
+            this.peer = peer;
+            peer.ownedBy(this);
+            until = deadlines.at(loop.now() + ASK_WITHIN, () -> say("NAK no call came\r\n"));
+        }
+
+        @Override
+        public void received(int count) {
+            int end = peer.in().indexOf('\n');
+            if (end >= LONGEST_LINE || end < 0 && peer.in().size() >= LONGEST_LINE) {
+                say("NAK the line is longer than 4 KiB\r\n");
+            } else if (end >= 0) {
+                String line = peer.in().peek(end);
+                say(peer.in().size() > end + 1 ? "NAK one call a connection\r\n"
+                        : answer(line.endsWith("\r") ? line.substring(0, end - 1) : line));
+            }
+        }
+
+        private void say(String words) {
+            if (answered) {
+                return;
+            }
+            answered = true;
+            until.cancel();
+            until = deadlines.at(loop.now() + LINGER, this::over);
+            // what else comes is thrown away: closed with words unread, the kernel would send a reset after the answer
+            peer.discard();
+            peer.send(words);
+            peer.finish();
+        }
+
+        /** Whoever ended it, its descriptor is free again. */
+        private void over() {
+            until.cancel();
+            callers.remove(this);
+            peer.close();
+        }
+
+        @Override
+        public void finished() {
+            if (!answered && !peer.in().isEmpty()) {
+                say("NAK the call has no line end\r\n");
+            }
+            if (!answered || peer.outEnded()) {
+                over();
+            }
+        }
+
+        @Override
+        public void flushed() {
+            if (answered && peer.inEnded() && peer.outEnded()) {
+                over();
+            }
+        }
+
+        @Override
+        public void broken() {
+            over();
+        }
+    }
+}
--- a/src/main/java/sandstack/front/platform/PlatformFront.java
+++ b/src/main/java/sandstack/front/platform/PlatformFront.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChain;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
 import sandstack.core.Execution;
@@ -21,6 +22,7 @@
     private final Lobby lobby;
     private final Set<String> ids = new HashSet<>();
     private final LoadLines loadLines;
+    private Loop.Listener listener;
 
     /**
      * @param classes names of the settings' classes, in their order
@@ -36,13 +38,29 @@
 
     /** Listens; returns the port. */
     public int listen(String host, int port) throws IOException {
-        return loop.listen(host, port, loop.chain(new BaseFilter() {
+        listener = loop.listen(host, port, chain());
+        return listener.port();
+    }
+
+    /** Accepts clients at the listening socket that this process has inherited; returns its port. */
+    public int inherit() throws IOException {
+        listener = loop.inherit(chain());
+        return listener.port();
+    }
+
+    /** Accepts nobody any more; a socket that others have too stays as it is. */
+    public void pause() throws IOException {
+        listener.pause();
+    }
+
+    private FilterChain chain() {
+        return loop.chain(new BaseFilter() {
             @Override
             public NextAction handleAccept(FilterChainContext context) {
                 new PlatformClient(PlatformFront.this, Loop.peer(context));
                 return context.getStopAction();
             }
-        }));
+        });
     }
 
     /** Takes this id for a request; false where an open one has it. */
--- a/src/main/java/sandstack/net/Lobby.java
+++ b/src/main/java/sandstack/net/Lobby.java
@@ -95,6 +95,11 @@
         return stay.guest;
     }
 
+    /** Peers that have been accepted and not yet asked for anything. */
+    public int unheard() {
+        return guests.size();
+    }
+
     private int taken() {
         return guests.size() + leaving.size() + ADMITTED_DESCRIPTORS * admitted.size();
     }
--- a/src/main/java/sandstack/net/Loop.java
+++ b/src/main/java/sandstack/net/Loop.java
@@ -26,6 +26,7 @@
 import org.glassfish.grizzly.nio.SelectorRunner;
 import org.glassfish.grizzly.nio.transport.TCPNIOBindingHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOServerConnection;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
@@ -115,13 +116,42 @@
         return FilterChainBuilder.stateless().add(new RingFilter()).add(front).build();
     }
 
-    /** Listens at this address; returns the port. */
-    public int listen(String host, int port, FilterChain chain) throws IOException {
+    /** A socket at which peers are accepted. */
+    public static final class Listener {
+        private final TCPNIOServerConnection server;
+
+        private Listener(TCPNIOServerConnection server) {
+            this.server = server;
+        }
+
+        /** Where it listens. */
+        public int port() {
+            return ((InetSocketAddress) server.getLocalAddress()).getPort();
+        }
+
+        /**
+         * Accepts nobody any more and leaves the socket as it is: who waits in the kernel's queue waits there for
+         * another process that has the same socket.
+         */
+        public void pause() throws IOException {
+            server.disableIOEvent(IOEvent.SERVER_ACCEPT);
+        }
+    }
+
+    /** Listens at this address. */
+    public Listener listen(String host, int port, FilterChain chain) throws IOException {
+        return new Listener(binding(chain).bind(new InetSocketAddress(host, port)));
+    }
+
+    /** Accepts at the listening socket that this process has inherited as descriptor 0. */
+    public Listener inherit(FilterChain chain) throws IOException {
+        return new Listener(binding(chain).bindToInherited());
+    }
+
+    private TCPNIOBindingHandler binding(FilterChain chain) {
         // a chain set only after the bind comes too late for a client that is quicker: its bytes reached a
         // connection that no front owned
-        Connection<?> server = TCPNIOBindingHandler.builder(transport).processor(chain).build()
-                .bind(new InetSocketAddress(host, port));
-        return ((InetSocketAddress) server.getLocalAddress()).getPort();
+        return TCPNIOBindingHandler.builder(transport).processor(chain).build();
     }
 
     /** Connects from the loop's thread; the callback comes on it too, perhaps before this returns. */
--- a/src/main/java/sandstack/standin/Discovery.java
+++ b/src/main/java/sandstack/standin/Discovery.java
@@ -52,7 +52,7 @@
                 new Call(Loop.peer(context));
                 return context.getStopAction();
             }
-        }));
+        })).port();
         yard.after(EMPTY_LINE_EVERY, this::beat);
     }
 
--- a/src/main/java/sandstack/standin/FeedServer.java
+++ b/src/main/java/sandstack/standin/FeedServer.java
@@ -73,7 +73,7 @@
                 new Session(Loop.peer(context));
                 return context.getStopAction();
             }
-        }));
+        })).port();
     }
 
     // ---- commands ---------------------------------------------------------------------------------
--- a/src/main/java/sandstack/standin/ZoneLink.java
+++ b/src/main/java/sandstack/standin/ZoneLink.java
@@ -38,7 +38,7 @@
                 accepted(Loop.peer(context));
                 return context.getStopAction();
             }
-        }));
+        })).port();
     }
 
     public int port() {
--- /dev/null
+++ b/src/test/java/sandstack/UpgradeTest.java
@@ -0,0 +1,184 @@
+package sandstack;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.Queue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import sandstack.standin.Discovery;
+import sandstack.standin.FeedServer;
+import sandstack.standin.Machine;
+import sandstack.standin.Yard;
+
+/** An upgrade under load: real processes that inherit the clients' listening socket. */
+@Timeout(60)
+class UpgradeTest {
+    @TempDir
+    Path folder;
+
+    private final Yard yard;
+    private final Discovery discovery;
+    private final List<FeedServer> servers = new ArrayList<>();
+    private final Queue<String> answers = new ConcurrentLinkedQueue<>();
+    private final Queue<String> ends = new ConcurrentLinkedQueue<>();
+    private final List<Thread> clients = new ArrayList<>();
+    private SocketHolder holder;
+
+    UpgradeTest() throws IOException {
+        yard = new Yard();
+        discovery = yard.on(() -> unchecked(() -> new Discovery(yard)));
+        for (int i = 0; i < 2; i++) {
+            String uid = "s" + i;
+            servers.add(yard.on(() -> unchecked(() -> new FeedServer(yard, uid, "home", Machine.IDLE))));
+            yard.run(() -> discovery.list(servers.get(servers.size() - 1), "box", 1, "ready"));
+        }
+    }
+
+    private interface Made<T> {
+        T make() throws IOException;
+    }
+
+    private static <T> T unchecked(Made<T> made) {
+        try {
+            return made.make();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @BeforeEach
+    void hold() throws Exception {
+        holder = new SocketHolder(folder);
+        Files.writeString(folder.resolve("config.json"), Files.readString(Path.of("examples/config.json"))
+                .replaceFirst("(\"discovery\": *)\"[^\"]*\"", "$1\"127.0.0.1:" + discovery.port() + "\"")
+                .replaceFirst("\"known\": *\\{[^]]*]\\s*},", ""));
+        Files.createDirectory(folder.resolve("tmp"));
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        holder.close();
+        yard.close();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket probe = new ServerSocket(0)) {
+            return probe.getLocalPort();
+        }
+    }
+
+    /** One more process of the relay, and the port of its door. */
+    private record Started(ProcessHandle process, int door) {}
+
+    private Started start(String name) throws Exception {
+        Map<String, String> env = new HashMap<>();
+        int door = freePort();
+        env.put("PROXY_CONFIG", folder.resolve("config.json").toString());
+        env.put("PROXY_SOCKET_FD", "0");
+        env.put("PROXY_OPERATOR", "127.0.0.1:" + door);
+        env.put("TMPDIR", folder.resolve("tmp").toString());
+        Started started = new Started(holder.relay(name, env), door);
+        // awaited, not slept on: the door refuses until the process listens and says NAK until it can serve
+        while (!call(door, "PING").startsWith("ACK")) {
+            assertThat(started.process().isAlive()).as("relay " + name + ": " + log(name)).isTrue();
+            Thread.onSpinWait();
+        }
+        return started;
+    }
+
+    private String log(String name) throws IOException {
+        return Files.readString(folder.resolve(name + ".log"));
+    }
+
+    private static String call(int door, String call) {
+        try (Socket socket = new Socket("127.0.0.1", door)) {
+            socket.getOutputStream().write((call + "\r\n").getBytes());
+            return new String(socket.getInputStream().readAllBytes());
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    /** A client that stays until it is told to go; it tells its answer and how it ended. */
+    private void client(int number) throws Exception {
+        Socket socket = new Socket("127.0.0.1", holder.port());
+        socket.getOutputStream().write(("OPEN id" + number + " key" + number + " c=order-status,d=3000\r\n").getBytes());
+        Thread thread = new Thread(() -> {
+            try (socket) {
+                BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream()));
+                String answer = in.readLine();
+                answers.add(String.valueOf(answer));
+                String last = answer;
+                for (String line = answer; line != null; line = in.readLine()) {
+                    last = line;
+                }
+                ends.add(last);
+            } catch (IOException e) {
+                ends.add(e.toString());
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+        clients.add(thread);
+    }
+
+    @Test
+    void nobodyIsTurnedBackWhileOneProcessTakesOverFromAnother() throws Exception {
+        Started first = start("first");
+        int number = 0;
+        for (; number < 20; number++) {
+            client(number);
+        }
+        Started second = start("second");
+        for (; number < 40; number++) {
+            client(number);
+        }
+        first.process().destroy();
+        while (first.process().isAlive()) {
+            client(number++);
+            Thread.sleep(10);
+        }
+        Started third = start("third");
+        second.process().destroy();
+        second.process().onExit().get(20, TimeUnit.SECONDS);
+        third.process().destroy();
+        for (Thread client : clients) {
+            client.join(20_000);
+        }
+        assertThat(answers).hasSize(number).allMatch(answer -> answer.startsWith("UP "));
+        assertThat(ends).hasSize(number).containsOnly("MOVE");
+        long setups = servers.stream().mapToLong(server -> yard.on(server::books).setups()).sum();
+        assertThat(setups).as("no attempt but the one that stood").isEqualTo(number);
+    }
+
+    @Test
+    void aDescriptorThatCannotBeUsedEndsTheStartWithALineThatNamesTheVariable() throws Exception {
+        for (String descriptor : List.of("0", "7", "x")) {
+            ProcessBuilder program = new ProcessBuilder(SocketHolder.java(), "-cp",
+                    System.getProperty("java.class.path"), "sandstack.Main", "serve").redirectErrorStream(true)
+                    .redirectInput(Path.of("/dev/null").toFile());
+            program.environment().put("PROXY_CONFIG", "examples/config.json");
+            program.environment().put("PROXY_SOCKET_FD", descriptor);
+            Process relay = program.start();
+            assertThat(new String(relay.getInputStream().readAllBytes()).lines()).hasSize(1)
+                    .allMatch(line -> line.startsWith("serve: PROXY_SOCKET_FD is " + descriptor));
+            assertThat(relay.waitFor()).isEqualTo(2);
+        }
+    }
+}
--- a/src/test/java/sandstack/core/ExecutionTest.java
+++ b/src/test/java/sandstack/core/ExecutionTest.java
@@ -85,7 +85,7 @@
         }
         relay.turn();
         begun.forEach(Execution::up);
-        relay.drain(() -> { });
+        relay.drain(() -> 0, () -> { });
         now += 790_000;
         relay.turn();
         assertThat(moved).isZero();
--- a/src/test/java/sandstack/scenario/Stage.java
+++ b/src/test/java/sandstack/scenario/Stage.java
@@ -145,7 +145,7 @@
     }
 
     void drain() {
-        loop.execute(() -> relay.drain(() -> drained.complete(null)));
+        loop.execute(() -> relay.drain(() -> 0, () -> drained.complete(null)));
     }
 
     void awaitDrained() throws Exception {
