--- a/src/main/java/sandstack/core/Relay.java
+++ b/src/main/java/sandstack/core/Relay.java
@@ -29,7 +29,6 @@
 import sandstack.decisions.Decisions.Phase;
 import sandstack.decisions.Decisions.Refuse;
 import sandstack.decisions.Decisions.Relocate;
-import sandstack.decisions.Decisions.RequestClass;
 import sandstack.decisions.Decisions.ServerEntry;
 import sandstack.decisions.Decisions.ServerList;
 import sandstack.decisions.Decisions.SetTimer;
@@ -113,8 +112,7 @@
         this.watch = watch;
         this.brain = new Brain(settings, book, limits, seed, clock.getAsLong());
         this.chance = new java.util.SplittableRandom(seed);
-        this.tightMessage = settings.classes().stream().mapToDouble(RequestClass::messageAim)
-                .filter(aim -> aim > 0).min().orElse(Double.MAX_VALUE);
+        this.tightMessage = settings.tightestMessage();
     }
 
     // ---- the turn ---------------------------------------------------------------------------------
@@ -431,8 +429,8 @@
     }
 
     private long lastMove() {
-        long longest = settings.classes().stream().mapToLong(RequestClass::deadline).max().orElse(0);
-        return drainStart + Math.max(DRAIN_BEGINS + DRAIN_LEFT, Math.min(longest, DRAIN_LONGEST));
+        long longest = Math.min(settings.longestDeadline(), DRAIN_LONGEST);
+        return drainStart + Math.max(DRAIN_BEGINS + DRAIN_LEFT, longest);
     }
 
     /** Whoever is still there has to be told before the process is killed. */
--- a/src/main/java/sandstack/decisions/Decisions.java
+++ b/src/main/java/sandstack/decisions/Decisions.java
@@ -18,7 +18,14 @@
     public enum Repeat { SAFE, KEYED, UNSAFE }
 
     /** For keyed requests: the servers that drop each other's repeats. */
-    public enum Scope { ALL, ZONE, CELL }
+    public enum Scope {
+        ALL, ZONE, CELL;
+
+        /** Whether a server of that zone and cell drops what one of this zone and cell has seen. */
+        public boolean covers(int zone, int cell, int otherZone, int otherCell) {
+            return this == ALL || zone == otherZone && (this == ZONE || cell == otherCell);
+        }
+    }
 
     /** State of a server in the list: takes work, finishes what it has, or taken away. */
     public enum Phase { READY, DRAINING, GONE }
@@ -156,6 +163,34 @@
             return requestClass >= 0 && requestClass < classes.size();
         }
 
+        /** The least set-up aim of any class. */
+        public long tightestAim() {
+            return classes.stream().mapToLong(RequestClass::aim).min().orElseThrow();
+        }
+
+        public long shortestDeadline() {
+            return classes.stream().mapToLong(RequestClass::deadline).min().orElseThrow();
+        }
+
+        public long longestDeadline() {
+            return classes.stream().mapToLong(RequestClass::deadline).max().orElseThrow();
+        }
+
+        /** The least aim for a message of the classes that state one; very large where none does. */
+        public double tightestMessage() {
+            return classes.stream().mapToDouble(RequestClass::messageAim).filter(aim -> aim > 0).min()
+                    .orElse(Double.MAX_VALUE);
+        }
+
+        /** The part of its capacity that a server has by now, if it started then; 1 where that is long ago. */
+        public double warmth(long startedAt, long now) {
+            if (startedAt == 0 || warmAfter == 0) {
+                return 1;
+            }
+            double part = (now - startedAt) / (double) warmAfter;
+            return part >= 1 ? 1 : coldFrom + (1 - coldFrom) * Math.max(0, part);
+        }
+
         private static void require(boolean holds, String setting, String trouble) {
             if (!holds) {
                 throw new IllegalArgumentException("setting " + setting + " " + trouble);
--- a/src/main/java/sandstack/decisions/Frame.java
+++ b/src/main/java/sandstack/decisions/Frame.java
@@ -36,17 +36,9 @@
         this.chance = new Chance(seed);
         this.started = now;
         this.now = now;
-        long aim = Long.MAX_VALUE;
-        long deadline = Long.MAX_VALUE;
-        double message = Double.MAX_VALUE;
-        for (RequestClass c : settings.classes()) {
-            aim = Math.min(aim, c.aim());
-            deadline = Math.min(deadline, c.deadline());
-            message = c.messageAim() > 0 ? Math.min(message, c.messageAim()) : message;
-        }
-        slot = Math.max(1, aim / SLOTS_IN_AIM);
-        markSlot = Math.max(1, deadline / 2);
-        tightMessage = message;
+        slot = Math.max(1, settings.tightestAim() / SLOTS_IN_AIM);
+        markSlot = Math.max(1, settings.shortestDeadline() / 2);
+        tightMessage = settings.tightestMessage();
         capacity = new Capacity(book, slot, settings.instances());
     }
 
--- a/src/main/java/sandstack/decisions/Request.java
+++ b/src/main/java/sandstack/decisions/Request.java
@@ -59,13 +59,7 @@
             return false;
         }
         Server ran = mayHaveRunAt;
-        if (ran == null || cls.repeat() == Repeat.SAFE) {
-            return true;
-        }
-        return switch (cls.scope()) {
-            case ALL -> true;
-            case ZONE -> ran.zone == s.zone;
-            case CELL -> ran.zone == s.zone && ran.cell == s.cell;
-        };
+        return ran == null || cls.repeat() == Repeat.SAFE
+                || cls.scope().covers(ran.zone, ran.cell, s.zone, s.cell);
     }
 }
--- a/src/main/java/sandstack/decisions/Server.java
+++ b/src/main/java/sandstack/decisions/Server.java
@@ -5,7 +5,6 @@
 import sandstack.capacity.*;
 import sandstack.chance.Chance;
 import sandstack.decisions.Decisions.Phase;
-import sandstack.decisions.Decisions.Settings;
 
 /** What this instance knows of one server; its health marks are here too. One thread; all calls O(1). */
 final class Server {
@@ -90,12 +89,7 @@
 
     /** The part of its capacity that it has by now: 1 when it is warm. */
     double warmth(Frame f) {
-        Settings set = f.set;
-        if (startedAt == 0 || set.warmAfter() == 0) {
-            return 1;
-        }
-        double part = (f.now - startedAt) / (double) set.warmAfter();
-        return part >= 1 ? 1 : set.coldFrom() + (1 - set.coldFrom()) * Math.max(0, part);
+        return f.set.warmth(startedAt, f.now);
     }
 
     /** A fresh process: what was known of the old one says nothing, and it is cold. */
