Count connections by class, attempts and pools, and show them as INFO and at the console

core.Figures owns the counters; they are raised where a thing happens, for both fronts. Settings and class names are one value now (core.Terms), which fronts ask the relay for: new settings need it next.

--- a/src/main/java/sandstack/Service.java
+++ b/src/main/java/sandstack/Service.java
@@ -69,13 +69,13 @@
         this.config = config;
         this.env = env;
         this.files = files;
-        this.relay = new Relay(config.settings(), capacity.book(), capacity.limits(), config.seed(),
+        this.relay = new Relay(config.terms(), capacity.book(), capacity.limits(), config.seed(),
                 loop::now, this::askDiscovery);
         this.watch = new DiscoveryWatch(loop, relay, config.discovery(),
                 new NameTableJson(config.zones(), kinds));
         int kept = OTHER_DESCRIPTORS + (config.operator() == null ? 0 : OperatorDoor.MOST);
         this.lobby = new Lobby(loop, relay.deadlines(), config.sockets() - kept);
-        this.platform = new PlatformFront(loop, relay, lobby, config.classes(), config.tellsDelays());
+        this.platform = new PlatformFront(loop, relay, lobby);
     }
 
     private void askDiscovery() {
@@ -103,7 +103,7 @@
     public void rehearse() throws BadSettings, IOException {
         int port = start();
         try (Socket client = new Socket(config.listen().host(), port)) {
-            String line = "OPEN rehearsal key c=" + config.classes().get(0) + ",d=300\r\n";
+            String line = "OPEN rehearsal key c=" + config.terms().classes().get(0) + ",d=300\r\n";
             client.getOutputStream().write(line.getBytes(StandardCharsets.US_ASCII));
             client.getInputStream().readAllBytes();
         }
@@ -127,7 +127,7 @@
         loop.start(relay::turn, relay::nextTurn);
         if (config.operator() != null) {
             listen("operators", config.operator(),
-                    new OperatorDoor(loop, relay.deadlines(), this::hindrance, List::of)::listen);
+                    new OperatorDoor(loop, relay.deadlines(), this::hindrance, relay::figures)::listen);
         }
         int port = 0;
         if (config.inherits()) {
@@ -138,7 +138,7 @@
         }
         if (amqpListen != null) {
             listen("AMQP", amqpListen,
-                    new AmqpFront(loop, relay, lobby, config.classes(), config.name())::listen);
+                    new AmqpFront(loop, relay, lobby, config.name())::listen);
         }
         if (where != null) {
             new TenantDirectory(where, list -> loop.execute(() -> relay.tenantsListed(list))).start();
--- a/src/main/java/sandstack/config/PlatformConfig.java
+++ b/src/main/java/sandstack/config/PlatformConfig.java
@@ -12,7 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import sandstack.core.NameTable;
-import sandstack.decisions.Decisions.Settings;
+import sandstack.core.Terms;
 
 /**
  * What the platform tells a relay: the file that PROXY_CONFIG names, and the variables beside it, which come
@@ -22,10 +22,9 @@
  * @param inherits clients come at a listening socket that the process has inherited as descriptor 0
  * @param known the name table as this relay last had it; null where there is none
  * @param sockets file descriptors that the process may hold
- * @param tellsDelays whether feed servers tell how long a message takes
  */
 public record PlatformConfig(String name, Address listen, Address discovery, Address operator, boolean inherits,
-        long seed, int sockets, Settings settings, boolean tellsDelays, List<String> classes, List<String> zones, NameTable.News known) {
+        long seed, int sockets, Terms terms, List<String> zones, NameTable.News known) {
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -103,8 +102,9 @@
                 Address.parse(value(root, env, "listen", "PROXY_LISTEN"), "listen"),
                 Address.parse(value(root, env, "discovery", "PROXY_DISCOVERY"), "discovery"),
                 operator.isEmpty() ? null : Address.parse(operator, "operator"), inherits(env.get("PROXY_SOCKET_FD")),
-                seed(root.path("seed")), root.path("limits").path("sockets").asInt(4096), reader.settings(),
-                settings.path("family_info").path("tells_delay").asBoolean(false), List.copyOf(classes),
+                seed(root.path("seed")), root.path("limits").path("sockets").asInt(4096),
+                new Terms(reader.settings(), classes,
+                        settings.path("family_info").path("tells_delay").asBoolean(false)),
                 List.copyOf(zones),
                 known.isObject() ? new NameTableJson(zones, kinds).news(known, true) : null);
     }
--- a/src/main/java/sandstack/console/Commands.java
+++ b/src/main/java/sandstack/console/Commands.java
@@ -40,6 +40,7 @@
         commands.put("standing", this::standing);
         commands.put("endings", this::endings);
         commands.put("tenants", this::tenants);
+        commands.put("figures", relay::figures);
         commands.put("drain", this::drain);
         commands.put("help", () -> List.of("commands: " + String.join(", ", commands.keySet()) + ", quit"));
     }
--- a/src/main/java/sandstack/core/Execution.java
+++ b/src/main/java/sandstack/core/Execution.java
@@ -30,6 +30,7 @@
     private Deadlines.Deadline waiting;
     private Deadlines.Deadline silence;
     private long spokeAt;
+    private boolean written;
 
     Execution(Relay relay, ServiceClient client, NameTable.Line server, int number, long patience) {
         this.relay = relay;
@@ -67,6 +68,14 @@
         }
     }
 
+    /** The request's last byte has been written to the feed server; told more than once, it counts once. */
+    public void written() {
+        if (!written) {
+            written = true;
+            relay.written(this);
+        }
+    }
+
     /** The feed server has taken the connection: from now on it owns it. */
     public void up() {
         if (state == State.OUT) {
--- a/src/main/java/sandstack/core/Relay.java
+++ b/src/main/java/sandstack/core/Relay.java
@@ -66,7 +66,10 @@
     private static final long REPORT_PAUSE = 1_000_000;
     private static final Logger LOG = Logger.getLogger("sandstack.relay");
 
-    private final Settings settings;
+    private Terms terms;
+    private Settings settings;
+    private double tightMessage;
+    private final Figures figures = new Figures();
     private final LongSupplier clock;
     private final Brain brain;
     private final Deadlines deadlines = new Deadlines();
@@ -77,7 +80,6 @@
     private final Map<Cause, Long> refusals = new EnumMap<>(Cause.class);
     private final Map<String, Pulse> pulses = new HashMap<>();
     private final Runnable watch;
-    private final double tightMessage;
     private List<Event> ready = new ArrayList<>();
     private long lastId;
     private Runnable drained;
@@ -98,21 +100,22 @@
      * @param watch asks discovery for changes; answered by {@link #listed} or {@link #listFailed}
      */
     public Relay(Settings settings, long seed, LongSupplier clock, Runnable watch) {
-        this(settings, Stated.Book.EMPTY, Limits.NONE, seed, clock, watch);
+        this(Terms.numbered(settings), Stated.Book.EMPTY, Limits.NONE, seed, clock, watch);
     }
 
     /**
      * @param book what an operator knows of the feed servers
      * @param limits what the installation allows
      */
-    public Relay(Settings settings, Stated.Book book, Limits limits, long seed, LongSupplier clock,
-            Runnable watch) {
-        this.settings = settings;
+    public Relay(Terms terms, Stated.Book book, Limits limits, long seed, LongSupplier clock, Runnable watch) {
+        this.terms = terms;
+        this.settings = terms.settings();
+        this.tightMessage = settings.tightestMessage();
+        figures.offered(terms.classes());
         this.clock = clock;
         this.watch = watch;
         this.brain = new Brain(settings, book, limits, seed, clock.getAsLong());
         this.chance = new java.util.SplittableRandom(seed);
-        this.tightMessage = settings.tightestMessage();
     }
 
     // ---- the turn ---------------------------------------------------------------------------------
@@ -244,11 +247,26 @@
         }
     }
 
+    /** The request's last byte is on its way to the feed server. */
+    void written(Execution execution) {
+        figures.tried(className(execution.client().command));
+    }
+
+    /** A front has answered this command by itself: the relay has not taken it, or its client broke its word. */
+    public void turnedBack(Command command, Nack nack) {
+        figures.answered(className(command), nack.kind());
+    }
+
+    private String className(Command command) {
+        return terms.classes().get(command.requestClass());
+    }
+
     void established(Execution execution) {
         ServiceClient client = execution.client();
         if (client.overdue != null) {
             client.overdue.cancel();
         }
+        figures.up(className(client.command));
         LOG.fine(() -> "execution " + client.id + "/" + execution.number() + " stands at "
                 + execution.server().entry().server() + " after " + (now() - execution.began()) + " us");
         if (client.command.standingAt() != null) {
@@ -349,6 +367,7 @@
         }
         LOG.fine(() -> "command " + client.id + " of " + client.command.key() + " was answered " + nack.kind() + " "
                 + (nack.cause() == null ? "" : nack.cause() + " ") + nack.comeBackMillis() + " after " + client.executions + " executions");
+        figures.answered(className(client.command), nack.kind());
         client.nack(nack);
     }
 
@@ -473,8 +492,15 @@
         return settings.connectTimeout() > 0 ? settings.connectTimeout() : Long.MAX_VALUE / 4;
     }
 
-    public Settings settings() {
-        return settings;
+    /** What counts for the commands that come now. */
+    public Terms terms() {
+        return terms;
+    }
+
+    /** What this process has counted and holds now, a line each. */
+    public List<String> figures() {
+        long ejected = names.lines().stream().filter(line -> brain.avoids(line.entry().server())).count();
+        return figures.lines(clients.size(), names.lines().size(), (int) ejected);
     }
 
     public NameTable names() {
--- /dev/null
+++ b/src/main/java/sandstack/core/Terms.java
@@ -0,0 +1,64 @@
+package sandstack.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import sandstack.decisions.Decisions.RequestClass;
+import sandstack.decisions.Decisions.Settings;
+
+/**
+ * What counts for the commands that come now: the settings, and the names of their classes. A value; new ones follow at
+ * a reload and are swapped in whole. A class keeps its position for good, so that what counts by position stays right:
+ * one that has vanished keeps its last terms there, for the commands under way, and is not offered.
+ *
+ * @param settings of all classes, vanished ones included
+ * @param classes names of the classes, in the settings' order
+ * @param offered the classes that a command may ask for
+ * @param delaysTold whether feed servers tell how long a message takes
+ */
+public record Terms(Settings settings, List<String> classes, Set<String> offered, boolean delaysTold) {
+    /** Classes that ever were, over all reloads of one process: each costs memory for as long as it runs. */
+    public static final int MOST_CLASSES = 256;
+
+    public Terms {
+        classes = List.copyOf(classes);
+        offered = Set.copyOf(offered);
+    }
+
+    /** Terms to start with. */
+    public Terms(Settings settings, List<String> classes, boolean delaysTold) {
+        this(settings, classes, Set.copyOf(classes), delaysTold);
+    }
+
+    /** Terms of classes that have no names but their numbers. */
+    static Terms numbered(Settings settings) {
+        return new Terms(settings, IntStream.range(0, settings.classes().size()).mapToObj(Integer::toString).toList(),
+                true);
+    }
+
+    /** The position of a class that a command may ask for; -1 for any other name. */
+    public int indexOf(String name) {
+        return name != null && offered.contains(name) ? classes.indexOf(name) : -1;
+    }
+
+    /** Next terms as they count after these. */
+    public Terms followedBy(Terms next) {
+        List<String> names = new ArrayList<>(classes);
+        List<RequestClass> all = new ArrayList<>(settings.classes());
+        for (int i = 0; i < next.classes.size(); i++) {
+            int at = names.indexOf(next.classes.get(i));
+            if (at < 0) {
+                names.add(next.classes.get(i));
+                all.add(next.settings.classes().get(i));
+            } else {
+                all.set(at, next.settings.classes().get(i));
+            }
+        }
+        if (names.size() > MOST_CLASSES) {
+            throw new IllegalArgumentException("setting classes has more than " + MOST_CLASSES
+                    + " names over all reloads");
+        }
+        return new Terms(next.settings.with(all), names, next.offered, next.delaysTold);
+    }
+}
--- a/src/main/java/sandstack/decisions/Brain.java
+++ b/src/main/java/sandstack/decisions/Brain.java
@@ -88,6 +88,12 @@
         return f.out;
     }
 
+    /** Whether nothing new goes to this server now, but for a trial. */
+    public boolean avoids(String server) {
+        Server s = fleet.get(server);
+        return s == null || !s.ready() || room.late(s);
+    }
+
     private void arrived(ConnectRequest ask) {
         if (!set.knows(ask.requestClass())) {
             f.out.add(new Fail(ask.id()));
--- a/src/main/java/sandstack/decisions/Decisions.java
+++ b/src/main/java/sandstack/decisions/Decisions.java
@@ -158,6 +158,14 @@
             require(tipAfter >= 0, "tipAfter", "is negative");
         }
 
+        /** The same with these classes. */
+        public Settings with(List<RequestClass> others) {
+            return new Settings(self, instances, homeZone, zones, others, tenants, overShareWorth, worthByWork,
+                    passThrough, sharedGroups, listOnRequest, askWithin, maxAttempts, connectTimeout, retryAfter,
+                    maxRetryAfter, probes, probePrice, peers, peerPrice, crossZonePrice, movePrice, drainGrace, coldFrom,
+                    warmAfter, tipMultiple, tipAfter, loadRatioColumn);
+        }
+
         /** Whether there is a class at this position. */
         public boolean knows(int requestClass) {
             return requestClass >= 0 && requestClass < classes.size();
--- a/src/main/java/sandstack/front/amqp/AmqpClient.java
+++ b/src/main/java/sandstack/front/amqp/AmqpClient.java
@@ -95,12 +95,13 @@
         link = attached;
         link.closeHandler(l -> left());
         link.detachHandler(l -> left());
-        Command command = Words.command(link.getRemoteProperties(), front.classes(), front.relay().tenants());
+        Command command = Words.command(link.getRemoteProperties(), front.relay().terms(), front.relay().tenants());
         if (command == null) {
             nack(new Nack(Nack.Kind.BAD_INPUT, 0));
             return;
         }
         if (!front.lobby().admit(socket.peer())) {
+            front.relay().turnedBack(command, Lobby.NO_ROOM);
             nack(Lobby.NO_ROOM);
             return;
         }
--- a/src/main/java/sandstack/front/amqp/AmqpFront.java
+++ b/src/main/java/sandstack/front/amqp/AmqpFront.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import org.apache.qpid.protonj2.types.Binary;
 import org.apache.qpid.protonj2.types.transport.DeliveryState;
@@ -27,7 +26,6 @@
 
     private final Loop loop;
     private final Relay relay;
-    private final List<String> classes;
     private final String container;
     private final Lobby lobby;
     private final Map<LinkId, AmqpClient> holders = new HashMap<>();
@@ -41,10 +39,9 @@
     };
 
     /** @param container what the relay calls itself to clients */
-    public AmqpFront(Loop loop, Relay relay, Lobby lobby, List<String> classes, String container) {
+    public AmqpFront(Loop loop, Relay relay, Lobby lobby, String container) {
         this.loop = loop;
         this.relay = relay;
-        this.classes = classes;
         this.container = container;
         this.lobby = lobby;
     }
@@ -103,10 +100,6 @@
         return relay;
     }
 
-    List<String> classes() {
-        return classes;
-    }
-
     String container() {
         return container;
     }
--- a/src/main/java/sandstack/front/amqp/AmqpServer.java
+++ b/src/main/java/sandstack/front/amqp/AmqpServer.java
@@ -113,6 +113,9 @@
 
     @Override
     public void flushed() {
+        if (link != null && socket.heard()) {
+            execution.written();
+        }
         roomAgain();
     }
 
--- a/src/main/java/sandstack/front/amqp/Words.java
+++ b/src/main/java/sandstack/front/amqp/Words.java
@@ -1,7 +1,6 @@
 package sandstack.front.amqp;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import org.apache.qpid.protonj2.types.Symbol;
 import org.apache.qpid.protonj2.types.UnsignedInteger;
@@ -13,6 +12,7 @@
 import sandstack.core.Ending;
 import sandstack.core.Nack;
 import sandstack.core.Tenants;
+import sandstack.core.Terms;
 
 /** How commands, nacks and endings are said in AMQP. */
 final class Words {
@@ -28,11 +28,11 @@
     private Words() {}
 
     /** The command that a link's properties ask for; null where they make no sense. */
-    static Command command(Map<Symbol, Object> properties, List<String> classes, Tenants tenants) {
+    static Command command(Map<Symbol, Object> properties, Terms terms, Tenants tenants) {
         if (properties == null) {
             return null;
         }
-        int requestClass = classes.indexOf(text(properties, CLASS));
+        int requestClass = terms.indexOf(text(properties, CLASS));
         String key = text(properties, KEY);
         boolean groupless = properties.get(GROUP) == null;
         String group = text(properties, GROUP);
--- a/src/main/java/sandstack/front/platform/FirstLine.java
+++ b/src/main/java/sandstack/front/platform/FirstLine.java
@@ -1,11 +1,11 @@
 package sandstack.front.platform;
 
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
 import sandstack.core.Command;
 import sandstack.core.Tenants;
+import sandstack.core.Terms;
 
 /**
  * The line with which a client opens its connection:
@@ -44,8 +44,8 @@
     }
 
     /** The command that the line asks for; null where a value makes no sense or the class is unknown. */
-    Command command(List<String> classes, Tenants tenants) {
-        int requestClass = classes.indexOf(values.get("c"));
+    Command command(Terms terms, Tenants tenants) {
+        int requestClass = terms.indexOf(values.get("c"));
         String waits = values.get("d");
         if (requestClass < 0 || waits == null || !MILLIS.matcher(waits).matches()) {
             return null;
--- a/src/main/java/sandstack/front/platform/LoadLines.java
+++ b/src/main/java/sandstack/front/platform/LoadLines.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 
 /**
  * Tells the two figures apart that feed servers send as {@code LOAD X}: the load of a connection, in microseconds of
@@ -24,11 +25,11 @@
     private static final long PACE_SLACK = 20_000;
     private static final int MOST_KEPT = 4096;
 
-    private final boolean delaysTold;
+    private final BooleanSupplier delaysTold;
     private final Map<String, Long> toldAt = new HashMap<>();
 
-    /** @param delaysTold whether feed servers tell delays at all */
-    LoadLines(boolean delaysTold) {
+    /** @param delaysTold whether feed servers tell delays at all, as the settings have it now */
+    LoadLines(BooleanSupplier delaysTold) {
         this.delaysTold = delaysTold;
     }
 
@@ -38,7 +39,7 @@
      * @param now microseconds
      */
     boolean isDelay(String server, double told, long now) {
-        if (!delaysTold || !(told >= 0) || told >= LONGEST_DELAY) {
+        if (!delaysTold.getAsBoolean() || !(told >= 0) || told >= LONGEST_DELAY) {
             return false;
         }
         if (told >= LEAST_LOAD) {
--- a/src/main/java/sandstack/front/platform/PlatformClient.java
+++ b/src/main/java/sandstack/front/platform/PlatformClient.java
@@ -38,7 +38,7 @@
             case WAITING -> {
                 // a client waits for its answer: more behind its line is not one request but several, or none
                 relay.clientLeft(this);
-                badInput();
+                badInput(command());
             }
             case STANDING -> server.passOn();
             case LEAVING -> { }
@@ -51,7 +51,7 @@
             int end = peer.in().indexOf('\n');
             if (end < 0 || end >= LONGEST_LINE) {
                 if (end >= 0 || peer.in().size() >= LONGEST_LINE) {
-                    badInput();
+                    badInput(null);
                 }
                 return;
             }
@@ -67,13 +67,14 @@
     }
 
     private void request(FirstLine line) {
-        Command command = line == null ? null : line.command(front.classes(), relay.tenants());
+        Command command = line == null ? null : line.command(relay.terms(), relay.tenants());
         if (command == null || !peer.in().isEmpty() || !front.claim(line.id())) {
-            badInput();
+            badInput(command);
             return;
         }
         firstLine = line;
         if (!front.lobby().admit(peer)) {
+            relay.turnedBack(command, Lobby.NO_ROOM);
             nack(Lobby.NO_ROOM);
             return;
         }
@@ -81,8 +82,13 @@
         relay.take(this, command);
     }
 
-    private void badInput() {
-        nack(new Nack(Nack.Kind.BAD_INPUT, 0));
+    /** @param asked what the client asked for; null where that is not known */
+    private void badInput(Command asked) {
+        Nack nack = new Nack(Nack.Kind.BAD_INPUT, 0);
+        if (asked != null) {
+            relay.turnedBack(asked, nack);
+        }
+        nack(nack);
     }
 
     @Override
--- a/src/main/java/sandstack/front/platform/PlatformFront.java
+++ b/src/main/java/sandstack/front/platform/PlatformFront.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Set;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChain;
@@ -18,22 +17,16 @@
 public final class PlatformFront {
     private final Loop loop;
     private final Relay relay;
-    private final List<String> classes;
     private final Lobby lobby;
     private final Set<String> ids = new HashSet<>();
     private final LoadLines loadLines;
     private Loop.Listener listener;
 
-    /**
-     * @param classes names of the settings' classes, in their order
-     * @param delaysTold whether feed servers tell how long messages take
-     */
-    public PlatformFront(Loop loop, Relay relay, Lobby lobby, List<String> classes, boolean delaysTold) {
+    public PlatformFront(Loop loop, Relay relay, Lobby lobby) {
         this.loop = loop;
         this.relay = relay;
         this.lobby = lobby;
-        this.classes = classes;
-        this.loadLines = new LoadLines(delaysTold);
+        this.loadLines = new LoadLines(() -> relay.terms().delaysTold());
     }
 
     /** Listens; returns the port. */
@@ -93,10 +86,6 @@
         return relay;
     }
 
-    List<String> classes() {
-        return classes;
-    }
-
     long now() {
         return loop.now();
     }
--- a/src/main/java/sandstack/front/platform/ServerWire.java
+++ b/src/main/java/sandstack/front/platform/ServerWire.java
@@ -144,6 +144,8 @@
         if (standing) {
             client.peer().resume();
             closeIfBothEnded();
+        } else {
+            execution.written();
         }
     }
 
--- a/src/test/java/sandstack/config/PlatformConfigTest.java
+++ b/src/test/java/sandstack/config/PlatformConfigTest.java
@@ -30,8 +30,8 @@
     @Test
     void readsTheExample() throws Exception {
         PlatformConfig config = load(Files.readString(EXAMPLE));
-        assertThat(config.classes()).containsExactly("order-status", "catalogue-feed", "stock-check");
-        assertThat(config.settings().maxAttempts()).isEqualTo(6);
+        assertThat(config.terms().classes()).containsExactly("order-status", "catalogue-feed", "stock-check");
+        assertThat(config.terms().settings().maxAttempts()).isEqualTo(6);
         assertThat(config.known().kind()).isEqualTo(ListKind.SAVED);
         assertThat(config.known().lines()).hasSize(2)
                 .allMatch(line -> line.entry().phase() == Phase.READY && line.entry().zone() == 0);
--- /dev/null
+++ b/src/test/java/sandstack/front/platform/FiguresTest.java
@@ -0,0 +1,140 @@
+package sandstack.front.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import sandstack.capacity.Limits;
+import sandstack.capacity.Stated;
+import sandstack.core.NameTable;
+import sandstack.core.Relay;
+import sandstack.core.Terms;
+import sandstack.decisions.Decisions.ListKind;
+import sandstack.decisions.Decisions.Phase;
+import sandstack.decisions.Decisions.Repeat;
+import sandstack.decisions.Decisions.RequestClass;
+import sandstack.decisions.Decisions.Scope;
+import sandstack.decisions.Decisions.ServerEntry;
+import sandstack.decisions.Decisions.Settings;
+import sandstack.net.Lobby;
+import sandstack.net.Loop;
+import sandstack.standin.FeedServer;
+import sandstack.standin.Machine;
+import sandstack.standin.ShopClient;
+import sandstack.standin.ShopClient.Happened;
+import sandstack.standin.ShopClient.Told;
+import sandstack.standin.Yard;
+
+/** The relay's figures against the books of stand-in clients and feed servers after a mixed run. */
+@Timeout(30)
+class FiguresTest {
+    private static final List<String> CLASSES = List.of("light", "heavy");
+    private static final int CLIENTS = 60;
+
+    private final Yard yard = new Yard();
+    private final Loop loop = new Loop();
+    private final BlockingQueue<Told> told = new LinkedBlockingQueue<>();
+    private final Relay relay;
+    private final int port;
+
+    FiguresTest() throws IOException {
+        RequestClass cls = new RequestClass(320_000, 2_000_000, 1, Repeat.SAFE, Scope.ALL, 0, 100_000);
+        Settings settings = new Settings(0, 1, 0, 1, List.of(cls, cls), List.of(), 1, false, false, true, true,
+                10_000_000, 6, 100_000, false, 1_500_000, false, 0, false, 0, 0.1, 0.01, 300_000, 0.13, 23_000_000,
+                3, 1_500_000, -1);
+        relay = new Relay(new Terms(settings, CLASSES, true), Stated.Book.EMPTY, Limits.NONE, 5, loop::now, () -> { });
+        loop.start(relay::turn, relay::nextTurn);
+        port = new PlatformFront(loop, relay, new Lobby(loop, relay.deadlines(), 1000)).listen("127.0.0.1", 0);
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        loop.stop();
+        yard.close();
+    }
+
+    private Map<String, Long> figures() throws Exception {
+        CompletableFuture<List<String>> lines = new CompletableFuture<>();
+        loop.execute(() -> lines.complete(relay.figures()));
+        Map<String, Long> figures = new HashMap<>();
+        for (String line : lines.get(10, TimeUnit.SECONDS)) {
+            assertThat(line).matches("edge_proxy\\.[a-z_.]+=[0-9]+");
+            figures.put(line.substring("edge_proxy.".length(), line.indexOf('=')),
+                    Long.parseLong(line.substring(line.indexOf('=') + 1)));
+        }
+        return figures;
+    }
+
+    private FeedServer server(String uid, int cap) {
+        return yard.on(() -> {
+            try {
+                return new FeedServer(yard, uid, "home", Machine.IDLE.holding(cap, false));
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+    }
+
+    private static NameTable.Line line(String uid, int at, Phase phase) {
+        return new NameTable.Line(new ServerEntry(uid, 0, 0, 0, 0, phase, 1), "127.0.0.1", at);
+    }
+
+    @Test
+    void equalWhatClientsAndFeedServersCounted() throws Exception {
+        List<FeedServer> servers = List.of(server("s1", 10), server("s2", 10));
+        // two that drain: in the list, and avoided
+        loop.execute(() -> relay.listed(new NameTable.News(ListKind.FULL, 1, List.of(
+                line("s1", servers.get(0).port(), Phase.READY), line("s2", servers.get(1).port(), Phase.READY),
+                line("s3", 1, Phase.DRAINING), line("s4", 1, Phase.DRAINING)))));
+        for (int i = 0; i < CLIENTS; i++) {
+            String id = "i" + i;
+            String cls = CLASSES.get(i % 2);
+            yard.on(() -> new ShopClient(yard, port, id, id, "c=" + cls + ",d=1500", 10_000_000, told::add));
+        }
+        Map<Happened, Integer> heard = new EnumMap<>(Happened.class);
+        List<ShopClient> standing = new ArrayList<>();
+        for (int i = 0; i < CLIENTS; i++) {
+            Told next = told.take();
+            heard.merge(next.what(), 1, Integer::sum);
+            if (next.what() == Happened.UP) {
+                standing.add(next.client());
+            }
+        }
+        // one whose class is known and whose request makes no sense, and one whose class is not known
+        for (String words : List.of("OPEN x k c=light,d=1500\r\nmore\r\n", "OPEN y k c=none,d=1500\r\n")) {
+            try (Socket socket = new Socket("127.0.0.1", port)) {
+                socket.getOutputStream().write(words.getBytes());
+                assertThat(new String(socket.getInputStream().readAllBytes())).isEqualTo("ERR\r\n");
+            }
+        }
+        Map<String, Long> figures = figures();
+        assertThat(heard).containsOnlyKeys(Happened.UP, Happened.BUSY);
+        assertThat(figures.get("responses.light.ok") + figures.get("responses.heavy.ok"))
+                .isEqualTo(heard.get(Happened.UP).longValue()).isEqualTo(20);
+        assertThat(figures.get("responses.light.shed") + figures.get("responses.heavy.shed"))
+                .isEqualTo(heard.get(Happened.BUSY).longValue());
+        assertThat(figures).containsEntry("responses.light.errors", 1L).containsEntry("responses.heavy.errors", 0L)
+                .containsEntry("active", 20L).containsEntry("pool_size", 4L).containsEntry("config_applied", 0L)
+                .containsEntry("config_rejected", 0L);
+        assertThat(figures.get("pool_ejected")).isBetween(2L, 4L);
+        long asked = servers.stream().mapToLong(server -> yard.on(server::books).asked()).sum();
+        assertThat(figures).containsEntry("tries", asked);
+        assertThat(figures.get("responses.light.tries") + figures.get("responses.heavy.tries")).isEqualTo(asked);
+        standing.forEach(client -> yard.run(client::leave));
+        while (figures().get("active") > 0) {
+            Thread.onSpinWait();
+        }
+    }
+}
--- a/src/test/java/sandstack/front/platform/LoadLinesTest.java
+++ b/src/test/java/sandstack/front/platform/LoadLinesTest.java
@@ -6,7 +6,7 @@
 
 class LoadLinesTest {
     private static final long SECOND = 1_000_000;
-    private final LoadLines lines = new LoadLines(true);
+    private final LoadLines lines = new LoadLines(() -> true);
 
     @Test
     void aFewHundredIsAMessageThatTakesLongAndNotAConnectionThatDoesNothing() {
@@ -28,7 +28,7 @@
 
     @Test
     void whereNoDelaysAreToldAllAreLoadsAndNonsenseIsNeverADelay() {
-        assertThat(new LoadLines(false).isDelay("a", 273, 0)).isFalse();
+        assertThat(new LoadLines(() -> false).isDelay("a", 273, 0)).isFalse();
         assertThat(lines.isDelay("a", Double.NaN, 0)).isFalse();
         assertThat(lines.isDelay("a", -5, 0)).isFalse();
         assertThat(lines.isDelay("a", Double.POSITIVE_INFINITY, 0)).isFalse();
--- a/src/test/java/sandstack/scenario/Stage.java
+++ b/src/test/java/sandstack/scenario/Stage.java
@@ -11,8 +11,11 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import sandstack.capacity.Limits;
+import sandstack.capacity.Stated;
 import sandstack.core.NameTable;
 import sandstack.core.Relay;
+import sandstack.core.Terms;
 import sandstack.decisions.Decisions.ListKind;
 import sandstack.decisions.Decisions.Phase;
 import sandstack.decisions.Decisions.Repeat;
@@ -48,11 +51,11 @@
         Settings settings = new Settings(0, 1, 0, 1, List.of(cls, cls), List.of(), 1, false, false, true, true,
                 10_000_000, 6, 100_000, false, 1_500_000, false, 0, false, 0, 0.1, 0.01, 300_000, 0.13, 23_000_000,
                 3, 1_500_000, -1);
-        relay = new Relay(settings, 11, loop::now, () -> { });
+        relay = new Relay(new Terms(settings, CLASSES, true), Stated.Book.EMPTY, Limits.NONE, 11, loop::now, () -> { });
         loop.start(relay::turn, relay::nextTurn);
         Lobby lobby = new Lobby(loop, relay.deadlines(), SOCKETS);
-        port = amqp ? new AmqpFront(loop, relay, lobby, CLASSES, "relay").listen("127.0.0.1", 0)
-                : new PlatformFront(loop, relay, lobby, CLASSES, true).listen("127.0.0.1", 0);
+        port = amqp ? new AmqpFront(loop, relay, lobby, "relay").listen("127.0.0.1", 0)
+                : new PlatformFront(loop, relay, lobby).listen("127.0.0.1", 0);
     }
 
     /** Starts feed servers and lists them. */
