Take new settings whole at SIGHUP: classes, attempts and all else, or turn the file down

Settings and class names are one value, swapped in one turn; the module hears SettingsChanged and forgets nothing. Classes keep positions; a vanished one is not offered; requests under way have the lower number of attempts. A file without a key of the first, or with a deadline or attempts that are no number above 0, is turned down whole and counted. The module also hears how many processes are its instance together and divides what cold servers may be sent.

--- a/src/main/java/sandstack/Service.java
+++ b/src/main/java/sandstack/Service.java
@@ -21,6 +21,7 @@
 import sandstack.console.Console;
 import sandstack.core.NameTable;
 import sandstack.core.Relay;
+import sandstack.core.Terms;
 import sandstack.decisions.Decisions.ListKind;
 import sandstack.directory.TenantDirectory;
 import sandstack.front.amqp.AmqpFront;
@@ -52,7 +53,10 @@
     private final CountDownLatch drained = new CountDownLatch(1);
     private final Lobby lobby;
     private final PlatformFront platform;
+    /** What the last reload led to; the relay has the same, on its own thread. */
+    private Terms terms;
     private boolean accepting;
+    private int door;
     private long startedAt;
 
     /** What a front's listen is. */
@@ -69,7 +73,8 @@
         this.config = config;
         this.env = env;
         this.files = files;
-        this.relay = new Relay(config.terms(), capacity.book(), capacity.limits(), config.seed(),
+        this.terms = config.terms();
+        this.relay = new Relay(terms, capacity.book(), capacity.limits(), config.seed(),
                 loop::now, this::askDiscovery);
         this.watch = new DiscoveryWatch(loop, relay, config.discovery(),
                 new NameTableJson(config.zones(), kinds));
@@ -107,6 +112,13 @@
             client.getOutputStream().write(line.getBytes(StandardCharsets.US_ASCII));
             client.getInputStream().readAllBytes();
         }
+        if (config.operator() != null) {
+            try (Socket caller = new Socket(config.operator().host(), door)) {
+                caller.getOutputStream().write("INFO\r\n".getBytes(StandardCharsets.US_ASCII));
+                caller.getInputStream().readAllBytes();
+            }
+        }
+        reload();
         System.exit(0);
     }
 
@@ -126,7 +138,7 @@
         startedAt = loop.now();
         loop.start(relay::turn, relay::nextTurn);
         if (config.operator() != null) {
-            listen("operators", config.operator(),
+            door = listen("operators", config.operator(),
                     new OperatorDoor(loop, relay.deadlines(), this::hindrance, relay::figures)::listen);
         }
         int port = 0;
@@ -187,15 +199,25 @@
     }
 
     /**
-     * On SIGHUP: reads the configuration again and watches discovery where it says now. All else in it counts
-     * from the next start. One at a time, so that of several the one that read last also counts last.
+     * On SIGHUP: reads the configuration again, whole, and swaps settings and discovery in, in one turn. One at a time,
+     * so that of several the one that read last also counts last. One that cannot be used changes nothing.
      */
     private synchronized void reload() {
         try {
-            Address discovery = PlatformConfig.reload(env).discovery();
-            loop.execute(() -> watch.moveTo(discovery));
-            LOG.info("configuration read again, discovery is " + discovery);
-        } catch (BadSettings e) {
+            PlatformConfig next = config.next(env);
+            Terms after = terms.followedBy(next.terms());
+            terms = after;
+            loop.execute(() -> {
+                relay.termsAre(after);
+                watch.moveTo(next.discovery());
+            });
+            LOG.info("configuration read again, discovery is " + next.discovery() + ", classes are "
+                    + String.join(", ", next.terms().classes()));
+            for (String stays : config.fromNextStart(next)) {
+                LOG.info("counts from the next start: " + stays);
+            }
+        } catch (BadSettings | IllegalArgumentException e) {
+            loop.execute(relay::termsRejected);
             LOG.warning("new configuration not taken, all stays as it is: " + e.getMessage());
         }
     }
--- a/src/main/java/sandstack/config/PlatformConfig.java
+++ b/src/main/java/sandstack/config/PlatformConfig.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
@@ -11,6 +12,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.function.Function;
 import sandstack.core.NameTable;
 import sandstack.core.Terms;
 
@@ -21,12 +24,13 @@
  * @param operator where operators are answered; null where they are not
  * @param inherits clients come at a listening socket that the process has inherited as descriptor 0
  * @param known the name table as this relay last had it; null where there is none
+ * @param keys that the file has
  * @param sockets file descriptors that the process may hold
  */
 public record PlatformConfig(String name, Address listen, Address discovery, Address operator, boolean inherits,
-        long seed, int sockets, Terms terms, List<String> zones, NameTable.News known) {
+        long seed, int sockets, Terms terms, List<String> zones, NameTable.News known, Keys keys) {
 
-    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final ObjectMapper JSON = new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
     /** A host and a port. */
     public record Address(String host, int port) {
@@ -73,12 +77,27 @@
 
     /**
      * Reads the configuration once more, after its file was replaced: from then on the file says where discovery
-     * is, as the variable still has the address of the start.
+     * is, as the variable still has the address of the start. A file that lacks a key of the one before is refused:
+     * it was cut, or written by somebody who did not know all of it.
      */
-    public static PlatformConfig reload(Map<String, String> env) throws BadSettings {
+    public PlatformConfig next(Map<String, String> env) throws BadSettings {
         Map<String, String> rest = new HashMap<>(env);
         rest.remove("PROXY_DISCOVERY");
-        return load(rest, new MachineKinds(List.of()));
+        PlatformConfig next = load(rest, new MachineKinds(List.of()));
+        keys.requireAllIn(next.keys);
+        return next;
+    }
+
+    /** What this and the next differ in that counts only from the next start; empty where nothing. */
+    public List<String> fromNextStart(PlatformConfig next) {
+        List<String> differing = new ArrayList<>();
+        for (Function<PlatformConfig, Object> part : List.<Function<PlatformConfig, Object>>of(PlatformConfig::name,
+                PlatformConfig::listen, PlatformConfig::operator, PlatformConfig::sockets, PlatformConfig::zones)) {
+            if (!Objects.equals(part.apply(this), part.apply(next))) {
+                differing.add(part.apply(this) + " stays, not " + part.apply(next));
+            }
+        }
+        return differing;
     }
 
     private static PlatformConfig read(JsonNode root, Map<String, String> env, MachineKinds kinds)
@@ -93,7 +112,14 @@
             reader.read(in);
         }
         List<String> classes = new ArrayList<>();
-        settings.path("classes").forEach(c -> classes.add(c.path("name").asText()));
+        for (JsonNode c : settings.path("classes")) {
+            String name = c.path("name").asText("");
+            if (name.isEmpty() || classes.contains(name)) {
+                throw new BadSettings("settings.classes." + classes.size() + ".name "
+                        + (name.isEmpty() ? "is missing" : "is there twice"));
+            }
+            classes.add(name);
+        }
         List<String> zones = new ArrayList<>();
         settings.path("zones").forEach(z -> zones.add(z.asText()));
         JsonNode known = root.path("known");
@@ -106,7 +132,7 @@
                 new Terms(reader.settings(), classes,
                         settings.path("family_info").path("tells_delay").asBoolean(false)),
                 List.copyOf(zones),
-                known.isObject() ? new NameTableJson(zones, kinds).news(known, true) : null);
+                known.isObject() ? new NameTableJson(zones, kinds).news(known, true) : null, Keys.of(root));
     }
 
     /** The virtual machine can take descriptor 0 and no other. */
--- a/src/main/java/sandstack/config/SettingsReader.java
+++ b/src/main/java/sandstack/config/SettingsReader.java
@@ -57,12 +57,21 @@
         if (v == null && !Double.isNaN(absent)) {
             return absent;
         }
-        if (v instanceof Double d) {
+        if (v instanceof Double d && Double.isFinite(d)) {
             return d;
         }
         throw new BadSettings(name + (v == null ? " is missing" : " is not a number"));
     }
 
+    /** A number above 0; a part of one counts as none. */
+    private long above0(String name) throws BadSettings {
+        double v = number(name, Double.NaN);
+        if (v < 1) {
+            throw new BadSettings(name + " is not a number above 0");
+        }
+        return (long) v;
+    }
+
     private long time(String name) throws BadSettings {
         return (long) number(name, 0);
     }
@@ -111,8 +120,7 @@
                 case "cell" -> Scope.CELL;
                 default -> Scope.ALL;
             };
-            classes.add(new RequestClass((long) number(c + "goal_time_us", Double.NaN),
-                    (long) number(c + "deadline_us", Double.NaN), number(c + "gain", 1), repeat, scope,
+            classes.add(new RequestClass(above0(c + "goal_time_us"), above0(c + "deadline_us"), number(c + "gain", 1), repeat, scope,
                     time(c + "dedup_window_us"), time("family_info.message_aim_us." + i)));
         }
         List<Tenant> tenants = new ArrayList<>();
@@ -130,7 +138,7 @@
                 number("over_share_worth", 1), text("worth_by").equals("work"),
                 text("family_info.mode").equals("pass"), flag("family_info.groups"),
                 text("membership_mode").equals("on_request"), time("contract.ask_every_us"),
-                count("caps.max_attempts"), time("caps.connect_timeout_us"), flag("caps.retry_after"),
+                (int) Math.min(Integer.MAX_VALUE, above0("caps.max_attempts")), time("caps.connect_timeout_us"), flag("caps.retry_after"),
                 time("caps.max_retry_after_us"), flag("caps.probes"), number("costs.probe", 0),
                 flag("caps.peers"), number("costs.peer", 0), number("costs.cross_zone", 0),
                 number("costs.moves", 0), time("contract.drain_grace_us"), number("contract.cold_from", 1),
--- a/src/main/java/sandstack/core/Relay.java
+++ b/src/main/java/sandstack/core/Relay.java
@@ -27,12 +27,14 @@
 import sandstack.decisions.Decisions.ListKind;
 import sandstack.decisions.Decisions.LoadChanged;
 import sandstack.decisions.Decisions.Phase;
+import sandstack.decisions.Decisions.Processes;
 import sandstack.decisions.Decisions.Refuse;
 import sandstack.decisions.Decisions.Relocate;
 import sandstack.decisions.Decisions.ServerEntry;
 import sandstack.decisions.Decisions.ServerList;
 import sandstack.decisions.Decisions.SetTimer;
 import sandstack.decisions.Decisions.Settings;
+import sandstack.decisions.Decisions.SettingsChanged;
 import sandstack.decisions.Decisions.TenantsChanged;
 import sandstack.decisions.Decisions.TimerDue;
 import sandstack.decisions.Decisions.WatchServers;
@@ -108,16 +110,37 @@
      * @param limits what the installation allows
      */
     public Relay(Terms terms, Stated.Book book, Limits limits, long seed, LongSupplier clock, Runnable watch) {
-        this.terms = terms;
-        this.settings = terms.settings();
-        this.tightMessage = settings.tightestMessage();
-        figures.offered(terms.classes());
+        use(terms);
         this.clock = clock;
         this.watch = watch;
         this.brain = new Brain(settings, book, limits, seed, clock.getAsLong());
         this.chance = new java.util.SplittableRandom(seed);
     }
 
+    private void use(Terms next) {
+        terms = next;
+        settings = next.settings();
+        tightMessage = settings.tightestMessage();
+        figures.offered(next.offered());
+    }
+
+    /** Other terms count from now on, in one turn: what was read is swapped in whole. Commands under way keep theirs. */
+    public void termsAre(Terms next) {
+        use(next);
+        figures.configApplied();
+        ready.add(new SettingsChanged(settings));
+    }
+
+    /** A new configuration was turned down. */
+    public void termsRejected() {
+        figures.configRejected();
+    }
+
+    /** So many processes are this relay together now. */
+    public void processes(int count) {
+        ready.add(new Processes(count));
+    }
+
     // ---- the turn ---------------------------------------------------------------------------------
 
     /** One turn of the loop. */
@@ -176,7 +199,7 @@
         }
         long left = client.deadline - now();
         NameTable.Line line = names.get(a.server());
-        if (client.execution != null || line == null || left <= 0 || client.executions >= settings.maxAttempts()) {
+        if (client.execution != null || line == null || left <= 0 || executionsLeft(client) <= 0) {
             ready.add(new AttemptEnded(a.id(), client.executions, a.server(), Ending.NEVER_SENT.outcome(), false, 0,
                     null));
             client.executions++;
@@ -185,6 +208,10 @@
         begin(client, line, a.timeout() <= 0 ? left : Math.min(left, a.timeout()));
     }
 
+    private int executionsLeft(ServiceClient client) {
+        return Math.min(client.mostExecutions, settings.maxAttempts()) - client.executions;
+    }
+
     private void begin(ServiceClient client, NameTable.Line line, long patience) {
         Execution execution = new Execution(this, client, line, client.executions++, patience);
         client.execution = execution;
@@ -201,6 +228,7 @@
         client.command = command;
         // the client's own id may be one that another connection still uses; the module's never is
         client.id = Long.toString(++lastId);
+        client.mostExecutions = settings.maxAttempts();
         long headroom = Math.min(HEADROOM, command.patience() / 8);
         client.deadline = now() + command.patience() - headroom;
         clients.put(client.id, client);
@@ -225,7 +253,7 @@
         }
         NameTable.Line line = names.get(client.command.standingAt());
         long left = client.deadline - now();
-        if (line == null || left <= 0 || client.executions >= settings.maxAttempts()) {
+        if (line == null || left <= 0 || executionsLeft(client) <= 0) {
             answer(client, Nack.FAILED);
             return;
         }
--- a/src/main/java/sandstack/core/ServiceClient.java
+++ b/src/main/java/sandstack/core/ServiceClient.java
@@ -10,6 +10,7 @@
     long deadline;
     Execution execution;
     int executions;
+    int mostExecutions;
     boolean finished;
     Deadlines.Deadline overdue;
 
--- a/src/main/java/sandstack/core/Terms.java
+++ b/src/main/java/sandstack/core/Terms.java
@@ -59,6 +59,6 @@
             throw new IllegalArgumentException("setting classes has more than " + MOST_CLASSES
                     + " names over all reloads");
         }
-        return new Terms(next.settings.with(all), names, next.offered, next.delaysTold);
+        return new Terms(next.settings.forInstanceOf(settings, all), names, next.offered, next.delaysTold);
     }
 }
--- a/src/main/java/sandstack/decisions/BackOffs.java
+++ b/src/main/java/sandstack/decisions/BackOffs.java
@@ -1,8 +1,7 @@
 package sandstack.decisions;
 
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.Map;
+import sandstack.chance.Latest;
 
 /**
  * The retry number n and the interval of each client key ("Exponential back-off, revisited"). Holds the
@@ -20,7 +19,7 @@
     }
 
     private final Frame f;
-    private final Map<String, BackOff> byKey = new LinkedHashMap<>();
+    private final Map<String, BackOff> byKey = new Latest<>(MAX_KEYS);
 
     BackOffs(Frame f) {
         this.f = f;
@@ -38,11 +37,6 @@
             b = new BackOff();
         }
         byKey.put(key, b);
-        if (byKey.size() > MAX_KEYS) {
-            Iterator<String> oldest = byKey.keySet().iterator();
-            oldest.next();
-            oldest.remove();
-        }
         b.n = Math.min(b.n + 1, MAX_N);
         b.end = Math.max(f.now, b.end) + (f.slot << b.n);
         return b;
--- a/src/main/java/sandstack/decisions/Brain.java
+++ b/src/main/java/sandstack/decisions/Brain.java
@@ -22,7 +22,7 @@
     private static final double ATTEMPT_SLICE = 0.4;
 
     private final Frame f;
-    private final Settings set;
+    private Settings set;
     private final Fleet fleet;
     private final Room room;
     private final Shedding shedding;
@@ -84,6 +84,13 @@
             adopted(e);
         } else if (event instanceof TenantsChanged e) {
             shedding.tenantsAre(e.tenants());
+        } else if (event instanceof SettingsChanged e) {
+            set = e.settings();
+            f.use(set);
+            shedding.classesAre(set.classes().size());
+            draw.classesAre(set.classes());
+        } else if (event instanceof Processes e) {
+            f.processes = Math.max(1, e.count());
         }
         return f.out;
     }
@@ -99,7 +106,7 @@
             f.out.add(new Fail(ask.id()));
             return;
         }
-        Request r = new Request(ask, set.classes().get(ask.requestClass()));
+        Request r = new Request(ask, set);
         draw.arrived(r);
         Cause limit = counted.over(ask.group());
         enter(r);
@@ -129,7 +136,7 @@
         if (!set.knows(ask.requestClass())) {
             return;
         }
-        Request r = new Request(ask, set.classes().get(ask.requestClass()));
+        Request r = new Request(ask, set);
         r.attempts = 1;
         r.at = s;
         enter(r);
@@ -178,7 +185,7 @@
         if (s.fails > 0) {
             s.trialOut = true;
         }
-        boolean more = r.attempts < set.maxAttempts() && fleet.home.length + fleet.away.length > 1;
+        boolean more = r.left(set) > 0 && fleet.home.length + fleet.away.length > 1;
         long least = Math.max(3 * moves.setUp(), 2 * set.connectTimeout());
         long slice = Math.max((long) (left * ATTEMPT_SLICE), least);
         f.out.add(new Attempt(r.ask.id(), s.id, more && slice < left ? slice : left));
@@ -200,8 +207,8 @@
      */
     private void backOff(Request r) {
         long due = backOffs.draw(backOffs.raise(r.key));
-        if (r.attempts >= set.maxAttempts() || due >= lastStart(r)) {
-            refuse(r, r.attempts >= set.maxAttempts() ? Cause.ATTEMPTS : Cause.NO_TIME);
+        if (r.left(set) <= 0 || due >= lastStart(r)) {
+            refuse(r, r.left(set) <= 0 ? Cause.ATTEMPTS : Cause.NO_TIME);
             return;
         }
         hold(r, due);
--- a/src/main/java/sandstack/decisions/Decisions.java
+++ b/src/main/java/sandstack/decisions/Decisions.java
@@ -158,12 +158,12 @@
             require(tipAfter >= 0, "tipAfter", "is negative");
         }
 
-        /** The same with these classes. */
-        public Settings with(List<RequestClass> others) {
-            return new Settings(self, instances, homeZone, zones, others, tenants, overShareWorth, worthByWork,
-                    passThrough, sharedGroups, listOnRequest, askWithin, maxAttempts, connectTimeout, retryAfter,
-                    maxRetryAfter, probes, probePrice, peers, peerPrice, crossZonePrice, movePrice, drainGrace, coldFrom,
-                    warmAfter, tipMultiple, tipAfter, loadRatioColumn);
+        /** The same with these classes, for the instance that those others set up: its number and its zones. */
+        public Settings forInstanceOf(Settings other, List<RequestClass> all) {
+            return new Settings(other.self, instances, other.homeZone, other.zones, all, tenants, overShareWorth,
+                    worthByWork, passThrough, sharedGroups, listOnRequest, askWithin, maxAttempts, connectTimeout,
+                    retryAfter, maxRetryAfter, probes, probePrice, peers, peerPrice, crossZonePrice, movePrice,
+                    drainGrace, coldFrom, warmAfter, tipMultiple, tipAfter, loadRatioColumn);
         }
 
         /** Whether there is a class at this position. */
@@ -269,6 +269,15 @@
     /** The tenants have changed; each keeps its position, and new ones stand behind the others. */
     public record TenantsChanged(List<Tenant> tenants) implements Event {}
 
+    /**
+     * Other settings count from now on, for the same instance. Classes keep their positions, new ones stand behind;
+     * requests under way keep their class and have the lower number of attempts.
+     */
+    public record SettingsChanged(Settings settings) implements Event {}
+
+    /** So many processes are this instance together, while one takes over from another; usually 1. */
+    public record Processes(int count) implements Event {}
+
     /** Another instance sent this text. */
     public record PeerMessage(int from, String text) implements Event {}
 
--- a/src/main/java/sandstack/decisions/Draw.java
+++ b/src/main/java/sandstack/decisions/Draw.java
@@ -1,7 +1,9 @@
 package sandstack.decisions;
 
+import java.util.List;
 import sandstack.capacity.*;
 import sandstack.chance.Chance;
+import sandstack.decisions.Decisions.RequestClass;
 
 /**
  * The choice of a server: highest random weight over all that are ready and unmarked, home zone first. One
@@ -25,15 +27,18 @@
     private final Shedding shedding;
     private long arrivals;
     private double meanLoad;
-    private final Survey survey;
+    private Survey survey;
 
     Draw(Frame f, Fleet fleet, Room room, Shedding shedding) {
         this.f = f;
         this.fleet = fleet;
         this.room = room;
         this.shedding = shedding;
-        double[] worth = f.set.classes().stream().mapToDouble(Decisions.RequestClass::worth).toArray();
-        this.survey = new Survey(worth);
+        classesAre(f.set.classes());
+    }
+
+    void classesAre(List<RequestClass> classes) {
+        survey = new Survey(classes.stream().mapToDouble(RequestClass::worth).toArray());
     }
 
     /** Counts requests that ask for the first time: what cold servers may be sent follows from their rate. */
@@ -58,7 +63,7 @@
             fresh *= ColdBudget.zonePart(home) / (home ? fleet.home : fleet.away).length;
             rate = Math.max(rate, fresh) * ColdBudget.MARGIN * f.set.tipMultiple() * warmth;
         }
-        return s.cold.allows(rate, f.set.tipAfter(), f.now, f::uniform);
+        return s.cold.allows(rate / f.processes, f.set.tipAfter(), f.now, f::uniform);
     }
 
     /** The server for this request. Null where none can take it. */
--- a/src/main/java/sandstack/decisions/Fleet.java
+++ b/src/main/java/sandstack/decisions/Fleet.java
@@ -1,10 +1,8 @@
 package sandstack.decisions;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import sandstack.decisions.Decisions.*;
@@ -102,23 +100,18 @@
     }
 
     private void rebuild() {
-        List<Server> near = new ArrayList<>();
-        List<Server> far = new ArrayList<>();
+        home = listed(true);
+        away = listed(false);
         homeWeight = 0;
-        for (Server s : servers.values()) {
-            if (s.phase == Phase.GONE) {
-                continue;
-            }
-            if (isHome(s)) {
-                near.add(s);
-                homeWeight += s.ready() ? s.rating : 0;
-            } else {
-                far.add(s);
-            }
+        for (Server s : home) {
+            homeWeight += s.ready() ? s.rating : 0;
         }
-        meanRating = near.isEmpty() || homeWeight <= 0 ? 1 : homeWeight / near.size();
-        home = near.toArray(new Server[0]);
-        away = far.toArray(new Server[0]);
+        meanRating = home.length == 0 || homeWeight <= 0 ? 1 : homeWeight / home.length;
+    }
+
+    private Server[] listed(boolean near) {
+        return servers.values().stream().filter(s -> s.phase != Phase.GONE && isHome(s) == near)
+                .toArray(Server[]::new);
     }
 
     boolean isHome(Server s) {
--- a/src/main/java/sandstack/decisions/Frame.java
+++ b/src/main/java/sandstack/decisions/Frame.java
@@ -16,30 +16,37 @@
     /** A first interval spans two slots; so many slots fit into the tightest set-up aim. */
     private static final int SLOTS_IN_AIM = 16;
 
-    final Settings set;
+    Settings set;
     final Capacity capacity;
     final Limits limits;
     final Chance chance;
-    final long slot;
+    long slot;
     /** Half of the shortest deadline: the unit of marks, and the pace of looks at the whole. */
-    final long markSlot;
-    final double tightMessage;
+    long markSlot;
+    double tightMessage;
     final long started;
     long now;
+    /** Processes that are this instance together: they share what cold servers may be sent. */
+    int processes = 1;
     List<Action> out = new ArrayList<>();
     private final Map<Long, Request> wakes = new LinkedHashMap<>();
     private long lastToken;
 
     Frame(Settings settings, Stated.Book book, Limits limits, long seed, long now) {
-        this.set = settings;
         this.limits = limits;
         this.chance = new Chance(seed);
         this.started = now;
         this.now = now;
+        use(settings);
+        capacity = new Capacity(book, slot, settings.instances());
+    }
+
+    /** These settings count from now on; what was learned under others stays. */
+    void use(Settings settings) {
+        set = settings;
         slot = Math.max(1, settings.tightestAim() / SLOTS_IN_AIM);
         markSlot = Math.max(1, settings.shortestDeadline() / 2);
         tightMessage = settings.tightestMessage();
-        capacity = new Capacity(book, slot, settings.instances());
     }
 
     double uniform() {
--- a/src/main/java/sandstack/decisions/Request.java
+++ b/src/main/java/sandstack/decisions/Request.java
@@ -6,6 +6,7 @@
 import sandstack.decisions.Decisions.Repeat;
 import sandstack.decisions.Decisions.RequestClass;
 import sandstack.decisions.Decisions.Scope;
+import sandstack.decisions.Decisions.Settings;
 
 /** One client connection, from its arrival to its end. */
 final class Request {
@@ -14,6 +15,7 @@
     final ConnectRequest ask;
     final RequestClass cls;
     final String key;
+    private final int most;
     State state = State.HELD;
     int attempts;
     Server at;
@@ -30,13 +32,19 @@
     long mayHaveRunSince;
     long sentAt;
 
-    Request(ConnectRequest ask, RequestClass cls) {
+    Request(ConnectRequest ask, Settings set) {
         this.ask = ask;
-        this.cls = cls;
+        this.cls = set.classes().get(ask.requestClass());
+        this.most = set.maxAttempts();
         this.key = ask.clientKey() == null ? ask.id() : ask.clientKey();
         this.load = ask.load();
     }
 
+    /** Attempts that it still has: those allowed when it came may be fewer by now, but never more. */
+    int left(Settings set) {
+        return Math.min(most, set.maxAttempts()) - attempts;
+    }
+
     void erred(Server s) {
         erredAt = new ArrayList<>(erredAt);
         erredAt.add(s);
--- a/src/main/java/sandstack/decisions/Shedding.java
+++ b/src/main/java/sandstack/decisions/Shedding.java
@@ -19,9 +19,9 @@
     private final Frame f;
     private final Fleet fleet;
     private final Room room;
-    private final double[] classLoad;
-    private final double[] classHeld;
-    private double[] classShed;
+    private double[] classLoad = new double[0];
+    private double[] classHeld = classLoad;
+    private double[] classShed = classLoad;
     private List<Tenant> tenants;
     private double[] tenantExcess = new double[0];
     private double shed;
@@ -32,12 +32,16 @@
         this.f = f;
         this.fleet = fleet;
         this.room = room;
-        this.classLoad = new double[f.set.classes().size()];
-        this.classHeld = new double[classLoad.length];
-        this.classShed = new double[classLoad.length];
+        classesAre(f.set.classes().size());
         tenantsAre(f.set.tenants());
     }
 
+    void classesAre(int count) {
+        classLoad = Arrays.copyOf(classLoad, count);
+        classHeld = Arrays.copyOf(classHeld, count);
+        classShed = Arrays.copyOf(classShed, count);
+    }
+
     void tenantsAre(List<Tenant> now) {
         tenants = List.copyOf(now);
         tenantExcess = Arrays.copyOf(tenantExcess, now.size());
--- a/src/main/java/sandstack/front/amqp/AmqpFront.java
+++ b/src/main/java/sandstack/front/amqp/AmqpFront.java
@@ -2,13 +2,13 @@
 
 import java.io.IOException;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import org.apache.qpid.protonj2.types.Binary;
 import org.apache.qpid.protonj2.types.transport.DeliveryState;
 import org.glassfish.grizzly.filterchain.BaseFilter;
 import org.glassfish.grizzly.filterchain.FilterChainContext;
 import org.glassfish.grizzly.filterchain.NextAction;
+import sandstack.chance.Latest;
 import sandstack.core.NameTable;
 import sandstack.core.Relay;
 import sandstack.net.Lobby;
@@ -29,14 +29,7 @@
     private final String container;
     private final Lobby lobby;
     private final Map<LinkId, AmqpClient> holders = new HashMap<>();
-    private final Map<LinkId, Deliveries> broken = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<LinkId, Deliveries> eldest) {
-            return size() > MOST_REMEMBERED;
-        }
-    };
+    private final Map<LinkId, Deliveries> broken = new Latest<>(MOST_REMEMBERED);
 
     /** @param container what the relay calls itself to clients */
     public AmqpFront(Loop loop, Relay relay, Lobby lobby, String container) {
--- a/src/test/java/sandstack/RehearsalTest.java
+++ b/src/test/java/sandstack/RehearsalTest.java
@@ -15,6 +15,7 @@
                 .redirectOutput(ProcessBuilder.Redirect.DISCARD).redirectError(ProcessBuilder.Redirect.DISCARD);
         program.environment().put("PROXY_CONFIG", "examples/config.json");
         program.environment().put("PROXY_LISTEN", "127.0.0.1:0");
+        program.environment().put("PROXY_OPERATOR", "127.0.0.1:0");
         Process rehearsal = program.start();
         assertThat(rehearsal.waitFor(20, TimeUnit.SECONDS)).isTrue();
         assertThat(rehearsal.exitValue()).isZero();
--- a/src/test/java/sandstack/ReloadTest.java
+++ b/src/test/java/sandstack/ReloadTest.java
@@ -6,9 +6,13 @@
 import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -24,6 +28,9 @@
     private Path file;
     private Process relay;
     private BufferedReader log;
+    private int door;
+    private int clients;
+    private int asked;
 
     @BeforeEach
     void start() throws Exception {
@@ -36,6 +43,7 @@
         program.environment().put("PROXY_CONFIG", file.toString());
         // as on the platform, the variable keeps the address of the start
         program.environment().put("PROXY_DISCOVERY", address(first));
+        program.environment().put("PROXY_OPERATOR", "127.0.0.1:0");
         relay = program.start();
         log = relay.inputReader();
     }
@@ -82,6 +90,67 @@
         assertThat(line).as("a log line with: " + text).isNotNull();
     }
 
+    private String call(String call) throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", door)) {
+            socket.getOutputStream().write((call + "\r\n").getBytes());
+            return new String(socket.getInputStream().readAllBytes());
+        }
+    }
+
+    /** Signals, and waits until so many files have been taken and so many turned down. */
+    private void reloaded(int applied, int rejected) throws Exception {
+        signal("HUP");
+        String info = call("INFO");
+        while (!info.contains("config_applied=" + applied + "\r\n")
+                || !info.contains("config_rejected=" + rejected + "\r\n")) {
+            assertThat(relay.isAlive()).isTrue();
+            info = call("INFO");
+        }
+    }
+
+    /** The answer to a request of this class: its feed servers are not there, so a known class is refused. */
+    private String open(String requestClass) throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", clients)) {
+            socket.getOutputStream().write(("OPEN i" + ++asked + " k c=" + requestClass + ",d=300\r\n").getBytes());
+            return new String(socket.getInputStream().readAllBytes());
+        }
+    }
+
+    @Test
+    void takesNewSettingsWholeAndTurnsDownWhatIsNot() throws Exception {
+        Matcher m = Pattern.compile("listens for (operators|lines) at 127.0.0.1:([0-9]+)").matcher("");
+        while (door == 0 || clients == 0) {
+            if (m.reset(log.readLine()).find()) {
+                int port = Integer.parseInt(m.group(2));
+                door = m.group(1).equals("operators") ? port : door;
+                clients = m.group(1).equals("lines") ? port : clients;
+            }
+        }
+        String before = example(first);
+        String after = before.replace("\"catalogue-feed\"", "\"price-feed\"").replace("\"max_attempts\": 6",
+                "\"max_attempts\": 2");
+        assertThat(open("catalogue-feed")).startsWith("BUSY");
+        assertThat(open("price-feed")).isEqualTo("ERR\r\n");
+        replaceBy(after);
+        reloaded(1, 0);
+        assertThat(open("price-feed")).startsWith("BUSY");
+        assertThat(open("catalogue-feed")).isEqualTo("ERR\r\n");
+        int rejected = 0;
+        for (String wrong : List.of("", after.substring(0, 900), after.replace("\"max_attempts\": 2,", ""),
+                after.replace("\"max_attempts\": 2", "\"max_attempts\": \"two\""),
+                before.replace("\"deadline_us\": 3000000", "\"deadline_us\": 0"))) {
+            replaceBy(wrong);
+            reloaded(1, ++rejected);
+            assertThat(open("price-feed")).startsWith("BUSY");
+            assertThat(open("catalogue-feed")).isEqualTo("ERR\r\n");
+        }
+        replaceBy(before);
+        reloaded(2, rejected);
+        assertThat(open("catalogue-feed")).startsWith("BUSY");
+        assertThat(call("INFO")).contains("edge_proxy.responses.catalogue-feed.shed=2\r\n",
+                "edge_proxy.responses.price-feed.shed=6\r\n");
+    }
+
     @Test
     void followsTheFileAtSighupAndStillEndsInOrderAtSigterm() throws Exception {
         assertThat(ask(first)).contains("watch=1&from=");
