Let two processes of one relay share descriptors, cold servers and the list

Need: during an upgrade limits and rules see one relay; each process used all of them, and the new one knew only the configuration's list until discovery answered.

Where PROXY_SOCKET_FD is set, each process keeps a notice in TMPDIR with a checksum, four times a second, and its list when it has changed. Others divide what cold servers may be sent, and the free descriptors; a new process starts from the serving one's list and says yes when that one has had time to make room. Off without the variable: no thread, no file.

Measured: KinTest (each byte changed, each cut, one that dies, leftovers, descriptors over twenty beats), UpgradeTest with three processes.

--- a/src/main/java/sandstack/Service.java
+++ b/src/main/java/sandstack/Service.java
@@ -5,10 +5,13 @@
 import java.net.Socket;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.logging.Logger;
 import sandstack.config.BadSettings;
 import sandstack.config.CapacityFile;
@@ -27,6 +30,8 @@
 import sandstack.front.amqp.AmqpFront;
 import sandstack.front.operators.OperatorDoor;
 import sandstack.front.platform.PlatformFront;
+import sandstack.kin.Kin;
+import sandstack.kin.Portions;
 import sandstack.nametable.DiscoveryWatch;
 import sandstack.net.Lobby;
 import sandstack.net.Loop;
@@ -51,7 +56,16 @@
     private final DiscoveryWatch watch;
     private final List<String> listeners = new ArrayList<>();
     private final CountDownLatch drained = new CountDownLatch(1);
+    private final NameTableJson form;
     private final Lobby lobby;
+    /** Descriptors for clients and feed servers, of all processes of this relay together. */
+    private final int descriptors;
+    /** What one process needs besides. */
+    private final int kept;
+    /** Null where no other process may be this relay too. */
+    private Kin kin;
+    private boolean listFromKin;
+    private int processes = 1;
     private final PlatformFront platform;
     /** What the last reload led to; the relay has the same, on its own thread. */
     private Terms terms;
@@ -76,10 +90,11 @@
         this.terms = config.terms();
         this.relay = new Relay(terms, capacity.book(), capacity.limits(), config.seed(),
                 loop::now, this::askDiscovery);
-        this.watch = new DiscoveryWatch(loop, relay, config.discovery(),
-                new NameTableJson(config.zones(), kinds));
-        int kept = OTHER_DESCRIPTORS + (config.operator() == null ? 0 : OperatorDoor.MOST);
-        this.lobby = new Lobby(loop, relay.deadlines(), config.sockets() - kept);
+        this.form = new NameTableJson(config.zones(), kinds);
+        this.watch = new DiscoveryWatch(loop, relay, config.discovery(), form);
+        this.kept = OTHER_DESCRIPTORS + (config.operator() == null ? 0 : OperatorDoor.MOST);
+        this.descriptors = config.sockets() - kept;
+        this.lobby = new Lobby(loop, relay.deadlines(), descriptors);
         this.platform = new PlatformFront(loop, relay, lobby);
     }
 
@@ -134,14 +149,21 @@
         if (config.inherits() && !(System.inheritedChannel() instanceof ServerSocketChannel)) {
             throw new BadSettings("PROXY_SOCKET_FD is 0, but descriptor 0 is no listening socket");
         }
-        relay.listed(config.known() != null ? config.known() : new NameTable.News(ListKind.SAVED, -1, List.of()));
         startedAt = loop.now();
+        NameTable.News known = config.inherits() ? joinKin() : null;
+        if (known == null) {
+            known = config.known() != null ? config.known() : new NameTable.News(ListKind.SAVED, -1, List.of());
+        }
+        relay.listed(known);
         loop.start(relay::turn, relay::nextTurn);
         if (config.operator() != null) {
             door = listen("operators", config.operator(),
                     new OperatorDoor(loop, relay.deadlines(), this::hindrance, relay::figures)::listen);
         }
         int port = 0;
+        if (kin != null) {
+            kin.start(new KinOfRelay());
+        }
         if (config.inherits()) {
             loop.execute(this::acceptOnceItCanServe);
         } else {
@@ -167,8 +189,10 @@
 
     /** Another process serves at the inherited socket meanwhile: a client taken too early waits longer here. */
     private void acceptOnceItCanServe() {
-        boolean waited = loop.now() - startedAt >= LIST_WITHIN;
-        if (!relay.names().usable() || !relay.names().told() && !waited) {
+        long since = loop.now() - startedAt;
+        boolean listed = relay.names().told() || listFromKin || since >= LIST_WITHIN;
+        // the process that serves has to hear of this one first, and make room for it
+        if (!relay.names().usable() || !listed || processes > 1 && since < 2 * Kin.BEAT) {
             relay.deadlines().at(loop.now() + LOOK_AGAIN, this::acceptOnceItCanServe);
             return;
         }
@@ -185,6 +209,58 @@
         }
     }
 
+    /** Reckons with other processes of this relay; returns the list of one that serves, or null. */
+    private NameTable.News joinKin() {
+        kin = new Kin(Path.of(env.getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"))), config.name(),
+                loop::now);
+        String list = kin.list();
+        if (list == null) {
+            return null;
+        }
+        try {
+            NameTable.News news = form.kept(list);
+            listFromKin = true;
+            LOG.info("takes over from another process, whose list has " + news.lines().size() + " feed servers");
+            return news;
+        } catch (BadSettings e) {
+            LOG.warning("the list of another process cannot be used: " + e.getMessage());
+            return null;
+        }
+    }
+
+    /** What the other processes are told of this one, and what follows here from what they tell. */
+    private final class KinOfRelay implements Kin.Relay {
+        @Override
+        public Kin.Own own(long writtenList) throws InterruptedException {
+            CompletableFuture<Kin.Own> own = new CompletableFuture<>();
+            loop.execute(() -> {
+                long number = relay.names().changes();
+                own.complete(new Kin.Own(lobby.taken(), number,
+                        number == writtenList ? null : form.text(relay.names())));
+            });
+            try {
+                return own.get();
+            } catch (ExecutionException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
+        @Override
+        public void others(List<Integer> used) {
+            loop.execute(() -> {
+                if (used.isEmpty() && processes == 1) {
+                    return;
+                }
+                if (processes != used.size() + 1) {
+                    processes = used.size() + 1;
+                    relay.processes(processes);
+                    LOG.info("processes of this relay: " + processes);
+                }
+                lobby.mayTake(Portions.descriptors(descriptors - kept * used.size(), lobby.taken(), used));
+            });
+        }
+    }
+
     private int listen(String what, Address at, Listening front) throws BadSettings, IOException {
         int port;
         try {
@@ -234,6 +310,9 @@
         CountDownLatch lastWords = new CountDownLatch(1);
         loop.execute(() -> relay.deadlines().at(loop.now() + LAST_WORDS, lastWords::countDown));
         await(lastWords);
+        if (kin != null) {
+            kin.close();
+        }
         LOG.info("stopped");
     }
 
--- a/src/main/java/sandstack/config/MachineKinds.java
+++ b/src/main/java/sandstack/config/MachineKinds.java
@@ -16,6 +16,11 @@
         names = new ArrayList<>(named);
     }
 
+    /** The kind at this position. */
+    String name(int kind) {
+        return kind >= 0 && kind < names.size() ? names.get(kind) : "";
+    }
+
     int of(String model) {
         int kind = names.indexOf(model);
         if (kind >= 0) {
--- a/src/main/java/sandstack/config/NameTableJson.java
+++ b/src/main/java/sandstack/config/NameTableJson.java
@@ -1,6 +1,10 @@
 package sandstack.config;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
 import sandstack.core.NameTable;
@@ -10,6 +14,8 @@
 
 /** Discovery's form of the name table, as it comes from discovery and in the configuration. */
 public final class NameTableJson {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
     private final List<String> zones;
     private final MachineKinds kinds;
 
@@ -56,6 +62,29 @@
                 address.host(), address.port());
     }
 
+    /** The name table in this form, as one whole list. */
+    public String text(NameTable names) {
+        ObjectNode list = JSON.createObjectNode().put("rev", names.version()).put("all", true);
+        ArrayNode targets = list.putArray("targets");
+        for (NameTable.Line line : names.lines()) {
+            ServerEntry e = line.entry();
+            targets.addObject().put("uid", e.server()).put("endpoint", line.host() + ":" + line.port())
+                    .put("az", e.zone() < zones.size() ? zones.get(e.zone()) : "").put("model", kinds.name(e.kind()))
+                    .put("pod_group", e.cell()).put("state", e.phase() == Phase.READY ? "ready" : "draining")
+                    .put("capacity_hint", e.rating()).put("boot_ms", e.startedAt() / 1000);
+        }
+        return list.toString();
+    }
+
+    /** Reads what {@link #text} gave, as a list that was kept. */
+    public NameTable.News kept(String text) throws BadSettings {
+        try {
+            return news(JSON.readTree(text), true);
+        } catch (JsonProcessingException e) {
+            throw new BadSettings("a kept list of feed servers is not JSON");
+        }
+    }
+
     /** A zone that the settings do not name is no relay's home: it stands behind all others. */
     private int zone(JsonNode az) {
         int zone = zones.indexOf(az.asText());
--- a/src/main/java/sandstack/core/NameTable.java
+++ b/src/main/java/sandstack/core/NameTable.java
@@ -29,12 +29,14 @@
     private final Map<String, Line> lines = new LinkedHashMap<>();
     private long version = -1;
     private boolean told;
+    private long changes;
 
     void apply(News news) {
         if (news.kind() != ListKind.CHANGES) {
             lines.clear();
         }
         version = news.version();
+        changes++;
         told |= news.kind() != ListKind.SAVED;
         for (Line line : news.lines()) {
             if (line.entry().phase() == Phase.GONE) {
@@ -59,6 +61,11 @@
         return told;
     }
 
+    /** How often the list has changed since the start. */
+    public long changes() {
+        return changes;
+    }
+
     /** Whether a feed server is listed that takes clients. */
     public boolean usable() {
         return lines.values().stream().anyMatch(line -> line.entry().phase() == Phase.READY);
--- a/src/main/java/sandstack/net/Lobby.java
+++ b/src/main/java/sandstack/net/Lobby.java
@@ -36,7 +36,7 @@
 
     private final Deadlines deadlines;
     private final Loop loop;
-    private final int most;
+    private int most;
     private final Map<Peer, Stay> guests = new LinkedHashMap<>();
     private final Map<Peer, Guest> admitted = new LinkedHashMap<>();
     private final Map<Peer, Stay> leaving = new LinkedHashMap<>();
@@ -49,6 +49,12 @@
         this.most = most;
     }
 
+    /** From now on they may take so many together; who is admitted stays. */
+    public void mayTake(int descriptors) {
+        most = descriptors;
+        makeRoom();
+    }
+
     /** A peer has been accepted. It may be turned away before this returns. */
     public void enter(Peer peer, Guest guest) {
         peer.watchedBy(this);
@@ -100,7 +106,8 @@
         return guests.size();
     }
 
-    private int taken() {
+    /** Descriptors that sockets of clients and feed servers take now. */
+    public int taken() {
         return guests.size() + leaving.size() + ADMITTED_DESCRIPTORS * admitted.size();
     }
 
