Bring groups together over all zones while load is being shed

Lines at fault: Draw.choose, home zone first also where a group then stands in every zone and the fleet is full.

--- a/src/main/java/sandstack/decisions/Draw.java
+++ b/src/main/java/sandstack/decisions/Draw.java
@@ -82,7 +82,10 @@
         // and what the least used elsewhere is used less than the least used at home
         keep = Math.min(keep, 1 - (room.least(fleet.home) - room.least(fleet.away) - USE_GAP) / USE_GAP);
         // a site of one zone has nowhere to spill to: who was spilled all the same waited in vain
-        if (keep >= 1 || fleet.away.length == 0 || f.uniform() < keep) {
+        if (r.ask.group() != null && shedding.on()) {
+            // standing in every zone, a group may cost more than it has: refuse nothing that fits without
+            best = draw(r, fleet.listed, seed);
+        } else if (keep >= 1 || fleet.away.length == 0 || f.uniform() < keep) {
             best = draw(r, fleet.home, seed);
         }
         if (best == null || !survey.admits(r.ask.requestClass())) {
--- a/src/main/java/sandstack/decisions/Fleet.java
+++ b/src/main/java/sandstack/decisions/Fleet.java
@@ -1,5 +1,6 @@
 package sandstack.decisions;
 
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -21,6 +22,7 @@
     /** The servers of the home zone and those elsewhere, but for those that are gone. */
     Server[] home = new Server[0];
     Server[] away = new Server[0];
+    Server[] listed = new Server[0];
     double homeWeight;
     double meanRating = 1;
     private int askFails;
@@ -100,8 +102,9 @@
     }
 
     private void rebuild() {
-        home = listed(true);
-        away = listed(false);
+        listed = servers.values().stream().filter(s -> s.phase != Phase.GONE).toArray(Server[]::new);
+        home = Arrays.stream(listed).filter(this::isHome).toArray(Server[]::new);
+        away = Arrays.stream(listed).filter(s -> !isHome(s)).toArray(Server[]::new);
         homeWeight = 0;
         for (Server s : home) {
             homeWeight += s.ready() ? s.rating : 0;
@@ -109,11 +112,6 @@
         meanRating = home.length == 0 || homeWeight <= 0 ? 1 : homeWeight / home.length;
     }
 
-    private Server[] listed(boolean near) {
-        return servers.values().stream().filter(s -> s.phase != Phase.GONE && isHome(s) == near)
-                .toArray(Server[]::new);
-    }
-
     boolean isHome(Server s) {
         return s.zone == f.set.homeZone();
     }
--- a/src/test/java/sandstack/decisions/OverloadTest.java
+++ b/src/test/java/sandstack/decisions/OverloadTest.java
@@ -59,6 +59,44 @@
         assertEquals(0, refused(rig, "after"), "still shedding long after the jam, with marks that ran out");
     }
 
+    private static String placed(Rig rig, String id, String group) {
+        rig.send(new ConnectRequest(id, 0, 0, id, group, rig.now + Rig.DEADLINE, 0, false, false));
+        Attempt a = rig.attempts.get(id);
+        return a == null ? null : a.server();
+    }
+
+    /** Each zone with places of its own for a group, a full fleet paid for every group in every zone. */
+    @Test
+    void whileLoadIsShedRelaysOfAllZonesPlaceAGroupAtOneServer() {
+        Rig[] rigs = {new Rig(Rig.settings().zone(0).build(), 6), new Rig(Rig.settings().zone(1).build(), 7)};
+        for (Rig rig : rigs) {
+            rig.list(9, 2);
+            for (int i = 0; i < 60; i++) {
+                rig.send(new Adopted(rig.ask("c" + i, "c" + i), "s" + i % 9));
+            }
+            for (int i = 0; i < 20; i++) {
+                String server = placed(rig, "before" + i, "g" + i);
+                assertEquals(rig.settings.homeZone(), rig.zoneOf(server), "home first while nobody is late");
+            }
+            for (int look = 0; look < 3; look++) {
+                for (int s = 0; s < 6; s++) {
+                    rig.send(new DelayReported("c" + s, 0, "s" + s, Rig.MESSAGE * 3));
+                }
+                rig.now += Rig.DEADLINE / 2;
+            }
+        }
+        int both = 0;
+        for (int i = 0; i < 60; i++) {
+            String one = placed(rigs[0], "during" + i, "h" + i);
+            String other = placed(rigs[1], "during" + i, "h" + i);
+            if (one != null && other != null) {
+                both++;
+                assertEquals(one, other, "places of one group");
+            }
+        }
+        assertTrue(both > 10, "placed by both: " + both);
+    }
+
     @Test
     void whereNobodyTellsLoadsAllClassesShedTheSamePart() {
         Rig rig = new Rig(Rig.settings().classes(1, 3).build(), 6);
