Keep groups together where servers are late, or where relays outnumber servers

The rule reads relays and zones from the settings and servers from the list; home comes first as before wherever a relay can tell that home bears it.

--- a/src/main/java/sandstack/decisions/Brain.java
+++ b/src/main/java/sandstack/decisions/Brain.java
@@ -33,10 +33,6 @@
     private final Map<String, Request> requests = new LinkedHashMap<>();
     private long nextLook;
 
-    public Brain(Settings settings, long seed, long now) {
-        this(settings, Stated.Book.EMPTY, Limits.NONE, seed, now);
-    }
-
     /** @param book what an operator knows of the servers; @param limits what the installation allows */
     public Brain(Settings settings, Stated.Book book, Limits limits, long seed, long now) {
         set = settings;
--- a/src/main/java/sandstack/decisions/Draw.java
+++ b/src/main/java/sandstack/decisions/Draw.java
@@ -17,6 +17,8 @@
     /** What a server that holds some of the group weighs more in the draw for one of its connections. */
     private static final double HOLDER_WEIGHT = 8;
     private static final double USE_WEIGHT = 3;
+    /** Groups are brought together while more than this part of the servers known here is late. */
+    private static final double TOGETHER_LATE = 0.25;
     private static final double TRIAL = 1e12;
     /** Home keeps everything while it is used by no more than this above others; at twice that, nothing. */
     static final double USE_GAP = 0.15;
@@ -66,6 +68,15 @@
         return s.cold.allows(rate / f.processes, f.set.tipAfter(), f.now, f::uniform);
     }
 
+    /**
+     * A group that stands in every zone may cost more there than all of its connections. Home comes first
+     * while it can bear that: not where servers are late, nor where relays outnumber them and see too little.
+     */
+    private boolean together() {
+        return Math.max(shedding.lateHome(), shedding.lateAway()) > TOGETHER_LATE
+                || f.set.instances() > f.set.zones() * fleet.home.length;
+    }
+
     /** The server for this request. Null where none can take it. */
     Server choose(Request r) {
         long seed = r.ask.group() != null ? Chance.hash(r.ask.group()) : f.chance.next();
@@ -82,8 +93,7 @@
         // and what the least used elsewhere is used less than the least used at home
         keep = Math.min(keep, 1 - (room.least(fleet.home) - room.least(fleet.away) - USE_GAP) / USE_GAP);
         // a site of one zone has nowhere to spill to: who was spilled all the same waited in vain
-        if (r.ask.group() != null && shedding.on()) {
-            // standing in every zone, a group may cost more than it has: refuse nothing that fits without
+        if (r.ask.group() != null && together()) {
             best = draw(r, fleet.listed, seed);
         } else if (keep >= 1 || fleet.away.length == 0 || f.uniform() < keep) {
             best = draw(r, fleet.home, seed);
--- a/src/main/java/sandstack/decisions/Moves.java
+++ b/src/main/java/sandstack/decisions/Moves.java
@@ -41,16 +41,12 @@
     /** The moment of a standing connection has come. */
     void woken(Request r) {
         if (!r.at.ready()) {
-            move(r);
+            f.out.add(new Relocate(r.ask.id()));
         } else if (r.at.fails > 0) {
             r.at.clear();
         }
     }
 
-    private void move(Request r) {
-        f.out.add(new Relocate(r.ask.id()));
-    }
-
     void delayTold(Server s, double delay) {
         // what is piled up there already works off: moves that go on until it has would empty the server
         boolean falls = 3 * delay - 2 * s.delay < f.tightMessage && f.now - s.delayAt <= f.markSlot * 2;
@@ -69,7 +65,7 @@
     /** What a look at the whole moves. */
     void look() {
         for (Server s : fleet.all()) {
-            if (room.over(s) && s.ready()) {
+            if (room.use(s) >= Room.USE_OVER && s.ready()) {
                 relocate(s);
             }
         }
@@ -81,7 +77,7 @@
      * whole interval, and moves if the server is still slow then; the next interval starts at its end.
      */
     private void relocate(Server s) {
-        boolean over = room.over(s);
+        boolean over = room.use(s) >= Room.USE_OVER;
         if (f.now >= s.moveEnd) {
             s.moveN++;
             s.moveStart = f.now;
@@ -95,7 +91,7 @@
             boolean late = r.moveDraw >= 0 && due <= f.now && (over || s.delay >= r.cls.messageAim());
             if (shedding.on() ? shedding.sheds(r) : late) {
                 r.moveDraw = -1;
-                move(r);
+                f.out.add(new Relocate(r.ask.id()));
             }
         }
     }
@@ -127,7 +123,7 @@
             }
         }
         if (heaviest != null) {
-            move(heaviest);
+            f.out.add(new Relocate(heaviest.ask.id()));
         }
     }
 }
--- a/src/main/java/sandstack/decisions/Room.java
+++ b/src/main/java/sandstack/decisions/Room.java
@@ -10,7 +10,7 @@
     static final double USE_FULL = 0.4;
     private static final double USE_LATE = 0.8;
     /** Used so far, its connections move as those of a slow one do. */
-    private static final double USE_OVER = 1.0;
+    static final double USE_OVER = 1.0;
     /** A server that is bounded by evidence weighs the less the fuller it is, but never less than this. */
     private static final double FULL_WEIGHT = 0.05;
 
@@ -44,10 +44,6 @@
         return delaysTold ? 0 : s.estimate.use(f.set.sharedGroups() ? s.groups.size() : 0, s.warmth(f));
     }
 
-    boolean over(Server s) {
-        return use(s) >= USE_OVER;
-    }
-
     /** Late by nothing but what stands there from here. */
     boolean fullHere(Server s) {
         return use(s) >= USE_LATE && !s.marked(f);
