Let home servers weigh twice where groups are drawn over all zones

Home comes first also there, as DESIGN has it: with the same weight for all servers five of six placements crossed zones.

--- a/src/main/java/sandstack/decisions/Brain.java
+++ b/src/main/java/sandstack/decisions/Brain.java
@@ -182,7 +182,7 @@
             s.trialOut = true;
         }
         boolean more = r.left(set) > 0 && fleet.home.length + fleet.away.length > 1;
-        long least = Math.max(3 * moves.setUp(), 2 * set.connectTimeout());
+        long least = Math.max(3 * moves.setUp, 2 * set.connectTimeout());
         long slice = Math.max((long) (left * ATTEMPT_SLICE), least);
         f.out.add(new Attempt(r.ask.id(), s.id, more && slice < left ? slice : left));
     }
--- a/src/main/java/sandstack/decisions/Draw.java
+++ b/src/main/java/sandstack/decisions/Draw.java
@@ -17,6 +17,8 @@
     /** What a server that holds some of the group weighs more in the draw for one of its connections. */
     private static final double HOLDER_WEIGHT = 8;
     private static final double USE_WEIGHT = 3;
+    /** What a server of the home zone weighs more where a draw is over all zones. */
+    private static final double HOME_WEIGHT = 2;
     /** Groups are brought together while more than this part of the servers known here is late. */
     private static final double TOGETHER_LATE = 0.25;
     private static final double TRIAL = 1e12;
@@ -139,7 +141,7 @@
 
     private double score(Request r, Server s, double room, long seed) {
         double score = Math.log(Chance.unit(Chance.mix(seed ^ s.hash)));
-        score /= s.rating * ColdBudget.pull(s.warmth(f));
+        score /= s.rating * ColdBudget.pull(s.warmth(f)) * (fleet.isHome(s) ? HOME_WEIGHT : 1);
         if (r.ask.group() != null) {
             // where the group already stands it is paid for: before any other server
             score /= room * (s.groups.containsKey(r.ask.group()) ? HOLDER_WEIGHT : 1);
--- a/src/main/java/sandstack/decisions/Moves.java
+++ b/src/main/java/sandstack/decisions/Moves.java
@@ -13,7 +13,7 @@
     private final Room room;
     private final Shedding shedding;
     private int timeOuts;
-    private long setUp;
+    long setUp;
 
     Moves(Frame f, Fleet fleet, Room room, Shedding shedding) {
         this.f = f;
@@ -34,10 +34,6 @@
         return ++timeOuts;
     }
 
-    long setUp() {
-        return setUp;
-    }
-
     /** The moment of a standing connection has come. */
     void woken(Request r) {
         if (!r.at.ready()) {
