Reckon with the other process before the new one says yes; play figures over both wires

It counts at its start now, and waits two beats as designed.

UpgradeTest holds the order of the log lines. A scenario verb for figures: the same counts for the line protocol and AMQP, attempts turned away and never written included.

--- a/src/main/java/sandstack/Service.java
+++ b/src/main/java/sandstack/Service.java
@@ -213,6 +213,7 @@
     private NameTable.News joinKin() {
         kin = new Kin(Path.of(env.getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"))), config.name(),
                 loop::now);
+        processesAre(kin.count() + 1);
         String list = kin.list();
         if (list == null) {
             return null;
@@ -228,6 +229,14 @@
         }
     }
 
+    private void processesAre(int count) {
+        if (count != processes) {
+            processes = count;
+            relay.processes(count);
+            LOG.info("processes of this relay: " + count);
+        }
+    }
+
     /** What the other processes are told of this one, and what follows here from what they tell. */
     private final class KinOfRelay implements Kin.Relay {
         @Override
@@ -251,11 +260,7 @@
                 if (used.isEmpty() && processes == 1) {
                     return;
                 }
-                if (processes != used.size() + 1) {
-                    processes = used.size() + 1;
-                    relay.processes(processes);
-                    LOG.info("processes of this relay: " + processes);
-                }
+                processesAre(used.size() + 1);
                 lobby.mayTake(Portions.descriptors(descriptors - kept * used.size(), lobby.taken(), used));
             });
         }
--- a/src/main/java/sandstack/kin/Kin.java
+++ b/src/main/java/sandstack/kin/Kin.java
@@ -111,6 +111,11 @@
         }
     }
 
+    /** How many other processes of this relay are there now. */
+    public int count() {
+        return others().size();
+    }
+
     /** The list of the process that wrote its notice last; null where there is no other or it has none. */
     public String list() {
         return others().stream().max(Comparator.comparingLong(Notice::written)).map(other -> {
--- a/src/test/java/sandstack/UpgradeTest.java
+++ b/src/test/java/sandstack/UpgradeTest.java
@@ -158,6 +158,9 @@
             client(number++);
             Thread.sleep(10);
         }
+        assertThat(log("second")).as("it reckons with the other before it takes anybody")
+                .containsSubsequence("processes of this relay: 2", "takes over from another process, whose list has 2",
+                        "listens for lines at the inherited socket");
         Started third = start("third");
         second.process().destroy();
         second.process().onExit().get(20, TimeUnit.SECONDS);
--- a/src/test/java/sandstack/kin/KinTest.java
+++ b/src/test/java/sandstack/kin/KinTest.java
@@ -76,6 +76,7 @@
             old.until(List.of());
             Kin second = kin("n1");
             assertThat(second.list()).isEqualTo("the list");
+            assertThat(second.count()).isEqualTo(1);
             second.start(fresh);
             old.until(List.of(2));
             fresh.until(List.of(40));
--- a/src/test/java/sandstack/scenario/ScenarioTest.java
+++ b/src/test/java/sandstack/scenario/ScenarioTest.java
@@ -23,6 +23,7 @@
  *   <li>{@code expect}: the next thing that the actor hears is this
  *   <li>{@code close}, {@code reset}: the actor ends its sending, or its connection
  *   <li>{@code wait N}: until the relay holds so many clients
+ *   <li>{@code figures NAME=N ...}: until the relay's figures are these, one of a class for each class
  *   <li>{@code crowd N}, {@code dispersed}: so many connect and say nothing; all of them have been closed
  *   <li>{@code servers N}, {@code dead}, {@code draining xN}, {@code gone xN}: the name table
  * </ul>
@@ -108,6 +109,25 @@
         }
     }
 
+    /** Waits until the figures are these; one for each class after its name, separated by commas. */
+    private static void figures(Stage stage, String wanted) throws Exception {
+        List<String> lines = new ArrayList<>();
+        for (String figure : wanted.split(" ")) {
+            String name = figure.substring(0, figure.indexOf('='));
+            String[] values = figure.substring(name.length() + 1).split(",");
+            for (int i = 0; i < values.length; i++) {
+                lines.add("edge_proxy." + (values.length == 1 ? name : "responses." + Stage.CLASSES.get(i) + "." + name)
+                        + "=" + values[i]);
+            }
+        }
+        List<String> figures = stage.figures();
+        for (int i = 0; i < 200 && !figures.containsAll(lines); i++) {
+            Thread.sleep(20);
+            figures = stage.figures();
+        }
+        assertThat(figures).containsAll(lines);
+    }
+
     private static void relay(Stage stage, Map<String, Actor> actors, String verb, String what) throws Exception {
         switch (verb) {
             case "servers" -> stage.servers(Integer.parseInt(what));
@@ -123,6 +143,7 @@
                     Thread.onSpinWait();
                 }
             }
+            case "figures" -> figures(stage, what);
             default -> throw new IllegalArgumentException(verb);
         }
     }
--- a/src/test/java/sandstack/scenario/Stage.java
+++ b/src/test/java/sandstack/scenario/Stage.java
@@ -155,6 +155,10 @@
         drained.get(10, TimeUnit.SECONDS);
     }
 
+    List<String> figures() throws Exception {
+        return onLoop(relay::figures);
+    }
+
     int clients() throws Exception {
         return onLoop(() -> relay.clients().size());
     }
