--- a/src/test/java/sandstack/front/platform/FiguresTest.java
+++ b/src/test/java/sandstack/front/platform/FiguresTest.java
@@ -28,6 +28,7 @@
 import sandstack.decisions.Decisions.Scope;
 import sandstack.decisions.Decisions.ServerEntry;
 import sandstack.decisions.Decisions.Settings;
+import sandstack.front.operators.OperatorDoor;
 import sandstack.net.Lobby;
 import sandstack.net.Loop;
 import sandstack.standin.FeedServer;
@@ -56,7 +57,7 @@
                 3, 1_500_000, -1);
         relay = new Relay(new Terms(settings, CLASSES, true), Stated.Book.EMPTY, Limits.NONE, 5, loop::now, () -> { });
         loop.start(relay::turn, relay::nextTurn);
-        port = new PlatformFront(loop, relay, new Lobby(loop, relay.deadlines(), 1000)).listen("127.0.0.1", 0);
+        port = new PlatformFront(loop, relay, new Lobby(loop, relay.deadlines(), 400)).listen("127.0.0.1", 0);
     }
 
     @AfterEach
@@ -91,6 +92,30 @@
         return new NameTable.Line(new ServerEntry(uid, 0, 0, 0, 0, phase, 1), "127.0.0.1", at);
     }
 
+    /** Crowds that say nothing fill all that clients may use; the door's callers, silent ones too, have their own. */
+    @Test
+    void areToldWithinASecondThroughoutACrowd() throws Exception {
+        int door = new OperatorDoor(loop, relay.deadlines(), () -> null, relay::figures).listen("127.0.0.1", 0);
+        List<Socket> crowd = new ArrayList<>();
+        long latest = 0;
+        for (int i = 0; i < 1500; i++) {
+            crowd.add(new Socket("127.0.0.1", port));
+            if (i % 30 == 0) {
+                crowd.add(new Socket("127.0.0.1", door));
+                long began = System.nanoTime();
+                try (Socket caller = new Socket("127.0.0.1", door)) {
+                    caller.getOutputStream().write("INFO\r\n".getBytes());
+                    assertThat(new String(caller.getInputStream().readAllBytes())).startsWith("ACK\r\n").endsWith("--\r\n");
+                }
+                latest = Math.max(latest, System.nanoTime() - began);
+            }
+        }
+        assertThat(latest).as("the latest answer, in nanoseconds").isLessThan(1_000_000_000L);
+        for (Socket socket : crowd) {
+            socket.close();
+        }
+    }
+
     @Test
     void equalWhatClientsAndFeedServersCounted() throws Exception {
         List<FeedServer> servers = List.of(server("s1", 10), server("s2", 10));
