Make stand-ins in one place, and look once for other processes at the start

Read over once more, behaviour as before. Making a stand-in that may fail to listen was written in Site, and again in UpgradeTest, FiguresTest and StandInTest: Yard.make serves all four. A new process read the folder of notices twice, for the number and for the list: Kin.find looks once. SocketHolder's child is started in lines of the usual width.

--- a/src/main/java/sandstack/Service.java
+++ b/src/main/java/sandstack/Service.java
@@ -213,13 +213,13 @@
     private NameTable.News joinKin() {
         kin = new Kin(Path.of(env.getOrDefault("TMPDIR", System.getProperty("java.io.tmpdir"))), config.name(),
                 loop::now);
-        processesAre(kin.count() + 1);
-        String list = kin.list();
-        if (list == null) {
+        Kin.Found found = kin.find();
+        processesAre(found.count() + 1);
+        if (found.list() == null) {
             return null;
         }
         try {
-            NameTable.News news = form.kept(list);
+            NameTable.News news = form.kept(found.list());
             listFromKin = true;
             LOG.info("takes over from another process, whose list has " + news.lines().size() + " feed servers");
             return news;
--- a/src/main/java/sandstack/kin/Kin.java
+++ b/src/main/java/sandstack/kin/Kin.java
@@ -111,14 +111,18 @@
         }
     }
 
-    /** How many other processes of this relay are there now. */
-    public int count() {
-        return others().size();
-    }
+    /**
+     * The other processes as a new one finds them.
+     *
+     * @param count how many there are
+     * @param list of the one that wrote its notice last; null where there is no other or it has none
+     */
+    public record Found(int count, String list) {}
 
-    /** The list of the process that wrote its notice last; null where there is no other or it has none. */
-    public String list() {
-        return others().stream().max(Comparator.comparingLong(Notice::written)).map(other -> {
+    /** Looks once for other processes of this relay. */
+    public Found find() {
+        List<Notice> there = others();
+        return new Found(there.size(), there.stream().max(Comparator.comparingLong(Notice::written)).map(other -> {
             try {
                 Notice list = read(folder.resolve(PREFIX + other.token() + LIST));
                 return list != null && list.token().equals(other.token()) ? list.text() : null;
@@ -126,7 +130,7 @@
                 fault("cannot be read", e);
                 return null;
             }
-        }).orElse(null);
+        }).orElse(null));
     }
 
     /** Begins to say that this process is there, and to tell of the others; the first notice is written at once. */
--- a/src/main/java/sandstack/measure/Site.java
+++ b/src/main/java/sandstack/measure/Site.java
@@ -20,26 +20,13 @@
     private final List<RelayProcess> relays = new ArrayList<>();
 
     Site() throws IOException {
-        discovery = yard.on(() -> unchecked(() -> new Discovery(yard)));
-    }
-
-    /** What may fail to listen. */
-    private interface Made<T> {
-        T make() throws IOException;
-    }
-
-    private static <T> T unchecked(Made<T> made) {
-        try {
-            return made.make();
-        } catch (IOException e) {
-            throw new IllegalStateException("a stand-in cannot listen: " + e.getMessage(), e);
-        }
+        discovery = yard.make(() -> new Discovery(yard));
     }
 
     /** Adds a feed server and lists it as ready. */
     FeedServer server(String model, double hint, Machine machine) {
-        return yard.on(() -> {
-            FeedServer server = unchecked(() -> new FeedServer(yard, "s" + servers.size(), "home", machine));
+        return yard.make(() -> {
+            FeedServer server = new FeedServer(yard, "s" + servers.size(), "home", machine);
             servers.add(server);
             discovery.list(server, model, hint, "ready");
             return server;
--- a/src/main/java/sandstack/standin/Yard.java
+++ b/src/main/java/sandstack/standin/Yard.java
@@ -56,6 +56,22 @@
         });
     }
 
+    /** What may fail to listen. */
+    public interface Made<T> {
+        T make() throws IOException;
+    }
+
+    /** Makes a stand-in on the yard's thread. */
+    public <T> T make(Made<T> made) {
+        return on(() -> {
+            try {
+                return made.make();
+            } catch (IOException e) {
+                throw new IllegalStateException("a stand-in cannot listen: " + e.getMessage(), e);
+            }
+        });
+    }
+
     /** Microseconds that never go back, near Unix time. */
     public long now() {
         return loop.now();
--- a/src/test/java/sandstack/SocketHolder.java
+++ b/src/test/java/sandstack/SocketHolder.java
@@ -80,9 +80,8 @@
             for (String line = from.readLine(); line != null; line = from.readLine()) {
                 String[] words = line.split(" ");
                 ProcessBuilder relay = new ProcessBuilder(java(), "-cp", System.getProperty("java.class.path"),
-                        
-                        "-Dsandstack.deploy=" + args[1], "sandstack.Main", "serve").redirectInput(ProcessBuilder.Redirect.INHERIT)
-                        .redirectErrorStream(true)
+                        "-Dsandstack.deploy=" + args[1], "sandstack.Main", "serve").redirectErrorStream(true)
+                        .redirectInput(ProcessBuilder.Redirect.INHERIT)
                         .redirectOutput(Files.createFile(Path.of(args[1], words[0] + ".log")).toFile());
                 for (int i = 1; i < words.length; i++) {
                     relay.environment().put(words[i].split("=")[0], words[i].split("=")[1]);
--- a/src/test/java/sandstack/UpgradeTest.java
+++ b/src/test/java/sandstack/UpgradeTest.java
@@ -42,26 +42,14 @@
 
     UpgradeTest() throws IOException {
         yard = new Yard();
-        discovery = yard.on(() -> unchecked(() -> new Discovery(yard)));
+        discovery = yard.make(() -> new Discovery(yard));
         for (int i = 0; i < 2; i++) {
             String uid = "s" + i;
-            servers.add(yard.on(() -> unchecked(() -> new FeedServer(yard, uid, "home", Machine.IDLE))));
+            servers.add(yard.make(() -> new FeedServer(yard, uid, "home", Machine.IDLE)));
             yard.run(() -> discovery.list(servers.get(servers.size() - 1), "box", 1, "ready"));
         }
     }
 
-    private interface Made<T> {
-        T make() throws IOException;
-    }
-
-    private static <T> T unchecked(Made<T> made) {
-        try {
-            return made.make();
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     @BeforeEach
     void hold() throws Exception {
         holder = new SocketHolder(folder);
--- a/src/test/java/sandstack/front/platform/FiguresTest.java
+++ b/src/test/java/sandstack/front/platform/FiguresTest.java
@@ -79,13 +79,7 @@
     }
 
     private FeedServer server(String uid, int cap) {
-        return yard.on(() -> {
-            try {
-                return new FeedServer(yard, uid, "home", Machine.IDLE.holding(cap, false));
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
-        });
+        return yard.make(() -> new FeedServer(yard, uid, "home", Machine.IDLE.holding(cap, false)));
     }
 
     private static NameTable.Line line(String uid, int at, Phase phase) {
--- a/src/test/java/sandstack/kin/KinTest.java
+++ b/src/test/java/sandstack/kin/KinTest.java
@@ -70,13 +70,12 @@
         Process fresh = new Process(2, "another");
         Process stranger = new Process(9, "a third");
         try (Kin first = kin("n1"); Kin other = kin("n2")) {
-            assertThat(first.list()).isNull();
+            assertThat(first.find().list()).isNull();
             first.start(old);
             other.start(stranger);
             old.until(List.of());
             Kin second = kin("n1");
-            assertThat(second.list()).isEqualTo("the list");
-            assertThat(second.count()).isEqualTo(1);
+            assertThat(second.find()).isEqualTo(new Kin.Found(1, "the list"));
             second.start(fresh);
             old.until(List.of(2));
             fresh.until(List.of(40));
--- a/src/test/java/sandstack/standin/StandInTest.java
+++ b/src/test/java/sandstack/standin/StandInTest.java
@@ -41,13 +41,7 @@
     }
 
     private FeedServer server(Machine machine) {
-        return yard.on(() -> {
-            try {
-                return new FeedServer(yard, "s1", "home", machine);
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
-        });
+        return yard.make(() -> new FeedServer(yard, "s1", "home", machine));
     }
 
     private ShopClient client(int port) {
