Let one installation's figures count only where the command names their file

The README's own first try was answered ERR, since both lines came in one write, and needed a program that a JDK machine lacks.

The command open opens one connection by hand.

--- a/src/main/java/sandstack/CommandLineOfAll.java
+++ b/src/main/java/sandstack/CommandLineOfAll.java
@@ -4,27 +4,38 @@
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IVersionProvider;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
 import sandstack.benchlink.Link;
 import sandstack.benchlink.WireException;
 import sandstack.config.BadSettings;
 import sandstack.config.CapacityFile;
 import sandstack.measure.MeasureCommand;
+import sandstack.measure.OpenCommand;
 import sandstack.measure.StandInCommand;
 
 /** The commands of the program, their help and their exit codes: 2 for wrong usage or settings, told in one line. */
 @Command(name = "sandstack", description = "A relay for long-lived connections.", mixinStandardHelpOptions = true,
         versionProvider = CommandLineOfAll.Version.class, synopsisSubcommandLabel = "COMMAND",
-        subcommands = {MeasureCommand.class, StandInCommand.class})
+        subcommands = {MeasureCommand.class, OpenCommand.class, StandInCommand.class})
 final class CommandLineOfAll implements Callable<Integer> {
     private static final int WRONG = 2;
 
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
+    /** What commands take that decide by what is known of the feed servers. */
+    static final class Known {
+        @Option(names = "--capacity", paramLabel = "FILE",
+                description = "What is known of the feed servers (default: deploy/capacity.toml, which states nothing).")
+        private Path file;
+    }
+
     /** The version of the build. */
     static final class Version implements IVersionProvider {
         @Override
@@ -57,27 +68,27 @@
     }
 
     @Command(description = "A relay, as PROXY_CONFIG says.", mixinStandardHelpOptions = true)
-    int serve() throws BadSettings, IOException {
-        Main.service().serve();
+    int serve(@Mixin Known known) throws BadSettings, IOException {
+        Main.service(known.file).serve();
         return 0;
     }
 
     @Command(description = "A relay with a console on this terminal.", mixinStandardHelpOptions = true)
-    int console() throws BadSettings, IOException {
-        Main.service().console();
+    int console(@Mixin Known known) throws BadSettings, IOException {
+        Main.service(known.file).console();
         return 0;
     }
 
     @Command(description = "Starts, asks itself once and ends; for the build.", mixinStandardHelpOptions = true)
-    int rehearse() throws BadSettings, IOException {
-        Main.service().rehearse();
+    int rehearse(@Mixin Known known) throws BadSettings, IOException {
+        Main.service(known.file).rehearse();
         return 0;
     }
 
     @Command(description = "The decisions on the simulator's wire, on standard input and output.",
             mixinStandardHelpOptions = true)
-    int simhost() throws BadSettings, IOException, WireException {
-        new Link(CapacityFile.read(Main.files())).run(new FileInputStream(FileDescriptor.in),
+    int simhost(@Mixin Known known) throws BadSettings, IOException, WireException {
+        new Link(CapacityFile.read(Main.files(), known.file)).run(new FileInputStream(FileDescriptor.in),
                 new FileOutputStream(FileDescriptor.out));
         return 0;
     }
--- /dev/null
+++ b/src/main/java/sandstack/measure/OpenCommand.java
@@ -0,0 +1,95 @@
+package sandstack.measure;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/**
+ * {@code open}: one connection by hand. Asks a relay as a client does, waits for the answer before it says a word, then
+ * sends each word as a line and prints what comes back. Blocks on one socket; ends when every word is answered, with 0
+ * where the connection stood, 1 where it was refused, failed or broke off.
+ */
+@Command(name = "open", description = "Opens one connection through a relay, sends lines and prints the answers.",
+        mixinStandardHelpOptions = true)
+public final class OpenCommand implements Callable<Integer> {
+    /** Longer lines are not the protocol's. */
+    private static final int LONGEST = 4096;
+    /** What a feed server tells of a connection's load is no answer; one that tells nothing else is not listened to. */
+    private static final int MOST_LOADS = 100;
+
+    @Spec
+    private CommandSpec spec;
+    @Parameters(index = "0", paramLabel = "HOST:PORT", description = "Where the relay listens.")
+    private String relay;
+    @Parameters(index = "1..*", paramLabel = "LINE", description = "Lines to send once the connection stands.")
+    private List<String> lines = List.of();
+    @Option(names = "--class", paramLabel = "NAME", defaultValue = "order-status",
+            description = "Class of the request (default: ${DEFAULT-VALUE}).")
+    private String requestClass;
+    @Option(names = "--group", paramLabel = "NAME", defaultValue = "shop-1",
+            description = "Group that it belongs to (default: ${DEFAULT-VALUE}).")
+    private String group;
+    @Option(names = "--key", paramLabel = "KEY", defaultValue = "by-hand",
+            description = "Key of the client (default: ${DEFAULT-VALUE}).")
+    private String key;
+    @Option(names = "--within", paramLabel = "MS", defaultValue = "2000",
+            description = "How long to wait for each answer (default: ${DEFAULT-VALUE}).")
+    private int within;
+
+    @Override
+    public Integer call() throws IOException {
+        int colon = relay.lastIndexOf(':');
+        if (colon <= 0 || !relay.substring(colon + 1).matches("[0-9]{1,5}") || port(colon) > 65_535 || within <= 0) {
+            throw new ParameterException(spec.commandLine(),
+                    within <= 0 ? "--within must be above 0: " + within : "not HOST:PORT: " + relay);
+        }
+        String first = "OPEN " + Long.toHexString(System.nanoTime()) + " " + key + " c=" + requestClass + ",d=" + within
+                + ",g=" + group;
+        try (Socket socket = new Socket()) {
+            socket.connect(new InetSocketAddress(relay.substring(0, colon), port(colon)), within);
+            // the relay answers within the client's time; this end waits a little longer to hear it
+            socket.setSoTimeout(within + 500);
+            BufferedReader in = new BufferedReader(
+                    new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1), LONGEST);
+            String answer = say(socket, in, first);
+            boolean stands = answer != null && (answer.equals("UP") || answer.startsWith("UP "));
+            for (String line : stands ? lines : List.<String>of()) {
+                stands = stands && say(socket, in, line) != null;
+            }
+            return stands ? 0 : 1;
+        } catch (SocketTimeoutException e) {
+            spec.commandLine().getErr().println("open: no answer from " + relay + " within " + within + " ms");
+            return 1;
+        }
+    }
+
+    private int port(int colon) {
+        return Integer.parseInt(relay.substring(colon + 1));
+    }
+
+    /** Sends a line and prints the one that comes back; null where the connection ended, or is to move. */
+    private String say(Socket socket, BufferedReader in, String line) throws IOException {
+        socket.getOutputStream().write((line + "\r\n").getBytes(StandardCharsets.UTF_8));
+        String answer = in.readLine();
+        for (int told = 0; answer != null && answer.startsWith("LOAD ") && told < MOST_LOADS; told++) {
+            answer = in.readLine();
+        }
+        CommandLine out = spec.commandLine();
+        out.getOut().println(answer == null ? "(the connection ended)" : answer);
+        out.getOut().flush();
+        return "MOVE".equals(answer) ? null : answer;
+    }
+}
