--- /dev/null
+++ b/src/test/java/sandstack/decisions/World.java
@@ -0,0 +1,405 @@
+package sandstack.decisions;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import sandstack.capacity.Limits;
+import sandstack.decisions.Decisions.*;
+
+/**
+ * Many modules, their feed servers and their clients in one simulated clock. A server does so many units of work a
+ * second: a mean connection is one, a group that stands there three, a set-up a third of a second's. What is beyond
+ * piles up; past a second of it the newest connections are dropped. Relays hear nothing of that but what happens to
+ * their own connections, and of the list only seconds late. Loads are told once a connection stands.
+ */
+final class World {
+    private static final long STEP = 20_000;
+    private static final long AIM = 150_000;
+    private static final long DROP_AT = 1_000_000;
+    /** Of what a server does, so much stays when it drops the rest. */
+    private static final double DROP_TO = 0.2;
+    private static final long SET_UP = 30_000;
+    private static final double SET_UP_WORK = 0.3;
+    private static final double GROUP = 3;
+    private static final double UNIT = 66_000;
+    private static final double[] LOAD = {0.57, 0.2, 3.4};
+    private static final double[] WORTH = {5, 1, 5};
+
+    /** A feed server. */
+    private static final class Machine {
+        final ServerEntry entry;
+        final double rate;
+        final List<Client> held = new ArrayList<>();
+        double piled;
+        boolean draining;
+
+        Machine(ServerEntry entry, double rate) {
+            this.entry = entry;
+            this.rate = rate;
+        }
+
+        double asked() {
+            Set<String> groups = new HashSet<>();
+            held.forEach(c -> groups.add(c.group));
+            return held.stream().mapToDouble(c -> LOAD[c.cls]).sum() + GROUP * groups.size();
+        }
+    }
+
+    /** A client, which wants its connection all the time. */
+    private static final class Client {
+        final String key;
+        final String group;
+        final int zone;
+        final int cls;
+        boolean returning;
+        String id;
+        Relay relay;
+        Machine at;
+
+        Client(String key, String group, int zone, double draw) {
+            this.key = key;
+            this.group = group;
+            this.zone = zone;
+            this.cls = draw < 0.5 ? 0 : draw < 0.81 ? 1 : 2;
+        }
+    }
+
+    /** One relay: its module, or none while it restarts. */
+    private static final class Relay {
+        final int number;
+        final int zone;
+        Brain brain;
+        boolean draining;
+        int life;
+        final Map<String, Client> clients = new LinkedHashMap<>();
+        final Map<String, Integer> tries = new HashMap<>();
+
+        Relay(int number, int zone) {
+            this.number = number;
+            this.zone = zone;
+        }
+    }
+
+    private record Due(long at, long order, Runnable what) {}
+
+    private final Random chance;
+    private final int zones;
+    private final List<Relay> relays = new ArrayList<>();
+    private final Map<String, Machine> machines = new LinkedHashMap<>();
+    private final List<Client> clients = new ArrayList<>();
+    private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) ->
+            a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+    private long now = 50_000_000;
+    private long order;
+    private int ids;
+    private double wanted;
+    private double served;
+    private int dropped;
+    private int refused;
+
+    /** @param served part of the worth that was wanted; @param dropped connections that servers dropped */
+    record Outcome(double served, int dropped, int refused) {}
+
+    private World(long seed, int relayCount, int zones) {
+        this.chance = new Random(seed);
+        this.zones = zones;
+        for (int i = 0; i < relayCount; i++) {
+            relays.add(new Relay(i, i % zones));
+        }
+    }
+
+    /** A roll: half of the servers are replaced in steps while all relays restart, a tenth at a time. */
+    static Outcome roll(long seed, int relays, int servers, int clients, int groups) {
+        World w = new World(seed, relays, 3);
+        for (int i = 0; i < servers; i++) {
+            w.machine("s" + seed + "-" + i, i % 2 == 0 ? 1.0 : 1.5, 0);
+        }
+        w.relays.forEach(w::start);
+        w.standing(clients, groups);
+        w.run(1_000_000);
+        w.wanted = w.served = w.dropped = w.refused = 0;
+        for (int i = 0; i < relays; i++) {
+            Relay r = w.relays.get(i);
+            w.at(1_500_000 + i / Math.max(1, relays / 10) * 1_600_000L, () -> w.restart(r));
+        }
+        List<Machine> old = new ArrayList<>(w.machines.values()).subList(0, servers / 2);
+        for (int i = 0; i < old.size(); i++) {
+            Machine m = old.get(i);
+            String next = "n" + seed + "-" + i;
+            long when = 1_500_000 + i / Math.max(1, servers / 8) * 2_600_000L;
+            w.at(when, () -> w.announce(w.machine(next, m.entry.rating(), w.now)));
+            w.at(when + 1_500_000, () -> w.drain(m));
+        }
+        w.run(24_000_000);
+        return new Outcome(w.served / w.wanted, w.dropped, w.refused);
+    }
+
+    private Machine machine(String name, double rating, long startedAt) {
+        Machine m = new Machine(new ServerEntry(name, Math.floorMod(name.hashCode(), 97) % zones, 0, 0, startedAt,
+                Phase.READY, rating), rating * 15 * 1.3 * (0.9 + 0.6 * chance.nextDouble()));
+        machines.put(name, m);
+        return m;
+    }
+
+    private Settings settings(Relay r) {
+        List<RequestClass> classes = new ArrayList<>();
+        for (int c = 0; c < 3; c++) {
+            classes.add(new RequestClass(c == 2 ? 300_000 : 500_000, c == 2 ? 1_800_000 : 3_000_000, WORTH[c],
+                    Repeat.SAFE, Scope.ALL, 5_000_000, AIM));
+        }
+        return new Settings(r.number, relays.size(), r.zone, zones, classes, List.of(), 1, false, false, true, false,
+                10_000_000, 6, 100_000, true, 1_500_000, false, 0.002, true, 0.01, 0.08, 0.01, 300_000, 0.13,
+                23_000_000, 3, 1_500_000, -1);
+    }
+
+    /** A relay starts with nothing but the list. */
+    private void start(Relay r) {
+        r.brain = new Brain(settings(r), Rig.PLATFORM, Limits.NONE, chance.nextLong(), now);
+        r.draining = false;
+        r.life++;
+        tell(r, new ServerList(ListKind.SAVED, machines.values().stream().map(World::entry).toList()));
+    }
+
+    private static ServerEntry entry(Machine m) {
+        ServerEntry e = m.entry;
+        return new ServerEntry(e.server(), e.zone(), e.cell(), e.kind(), e.startedAt(),
+                m.draining ? Phase.DRAINING : Phase.READY, e.rating());
+    }
+
+    private void at(long after, Runnable what) {
+        due.add(new Due(now + after, order++, what));
+    }
+
+    private long between(long least, long most) {
+        return least + (long) (chance.nextDouble() * (most - least));
+    }
+
+    /** All relays hear of this server, each when its list comes. */
+    private void announce(Machine m) {
+        ServerList news = new ServerList(ListKind.CHANGES, List.of(entry(m)));
+        relays.forEach(r -> at(between(1_000_000, 2_500_000), () -> tell(r, news)));
+    }
+
+    /** The machine sends all its clients away and takes nobody. */
+    private void drain(Machine m) {
+        m.draining = true;
+        for (Client c : List.copyOf(m.held)) {
+            end(c, Decisions.Outcome.CANCELLED);
+            comeBack(c, 20_000, 200_000);
+        }
+        announce(m);
+    }
+
+    /** SIGTERM: clients are moved over a span, then the process ends and comes back without any memory. */
+    private void restart(Relay r) {
+        r.draining = true;
+        int life = r.life;
+        for (Client c : List.copyOf(r.clients.values())) {
+            at(between(500_000, 2_000_000), () -> {
+                if (c.relay == r && r.life == life) {
+                    leave(c);
+                    comeBack(c, 20_000, 200_000);
+                }
+            });
+        }
+        at(2_600_000, () -> {
+            for (Client c : List.copyOf(r.clients.values())) {
+                leave(c);
+                comeBack(c, 150_000, 500_000);
+            }
+            r.brain = null;
+        });
+        at(3_800_000, () -> start(r));
+    }
+
+    /** Clients that stand already, as a fleet that was filled well has them; groups as uneven as Zipf's. */
+    private void standing(int count, int groups) {
+        for (int i = 0; i < count; i++) {
+            double u = chance.nextDouble();
+            String group = "g" + (int) (groups * u * u);
+            Client c = new Client("k" + i, group, chance.nextInt(zones), chance.nextDouble());
+            clients.add(c);
+            Machine best = null;
+            double top = Double.NEGATIVE_INFINITY;
+            for (Machine m : machines.values()) {
+                boolean has = m.held.stream().anyMatch(o -> o.group.equals(group));
+                double free = 0.75 - (m.asked() + LOAD[c.cls] + (has ? 0 : GROUP)) / m.rate;
+                double score = free > 0 ? (has ? 10 : 0) + free : free - 100;
+                if (score > top) {
+                    top = score;
+                    best = m;
+                }
+            }
+            List<Relay> near = relays.stream().filter(r -> r.zone == c.zone).toList();
+            Relay r = near.get(chance.nextInt(near.size()));
+            stands(c, r, best);
+            r.tries.put(c.id, 1);
+            tell(r, new Adopted(ask(c), best.entry.server()));
+        }
+    }
+
+    private void stands(Client c, Relay r, Machine m) {
+        c.id = "c" + ids++;
+        c.relay = r;
+        c.at = m;
+        r.clients.put(c.id, c);
+        m.held.add(c);
+    }
+
+    private ConnectRequest ask(Client c) {
+        return new ConnectRequest(c.id, c.cls, 0, c.key, c.group, now + (c.cls == 2 ? 1_700_000 : 2_900_000),
+                LOAD[c.cls] * UNIT, false, c.returning);
+    }
+
+    private void come(Client c) {
+        List<Relay> up = relays.stream().filter(r -> r.brain != null && !r.draining && r.zone == c.zone).toList();
+        if (up.isEmpty()) {
+            at(200_000, () -> come(c));
+            return;
+        }
+        c.id = "c" + ids++;
+        c.relay = up.get(chance.nextInt(up.size()));
+        c.relay.clients.put(c.id, c);
+        tell(c.relay, ask(c));
+    }
+
+    private void comeBack(Client c, long least, long most) {
+        c.returning = true;
+        at(between(least, most), () -> come(c));
+    }
+
+    private void leave(Client c) {
+        if (c.relay != null) {
+            c.relay.clients.remove(c.id);
+            c.relay = null;
+        }
+        if (c.at != null) {
+            c.at.held.remove(c);
+            c.at = null;
+        }
+    }
+
+    /** Its standing connection ends, and its relay is told how. */
+    private void end(Client c, Decisions.Outcome how) {
+        Machine m = c.at;
+        Relay r = c.relay;
+        String id = c.id;
+        leave(c);
+        if (how == Decisions.Outcome.CANCELLED && m.draining) {
+            // what the relay's core makes of a server that sends a client away
+            tell(r, new ServerList(ListKind.CHANGES, List.of(entry(m))));
+        }
+        tell(r, new AttemptEnded(id, r.tries.get(id) - 1, m.entry.server(), how, true, 1_000_000, null));
+    }
+
+    private void tell(Relay r, Event e) {
+        if (r.brain == null) {
+            return;
+        }
+        int life = r.life;
+        for (Action a : r.brain.on(e, now)) {
+            if (a instanceof Attempt t) {
+                attempt(r, t);
+            } else if (a instanceof SetTimer t) {
+                at(t.after(), () -> {
+                    if (r.life == life) {
+                        tell(r, new TimerDue(t.token()));
+                    }
+                });
+            } else if (a instanceof Refuse t) {
+                answered(r, t.id(), t.retryAfter());
+            } else if (a instanceof Fail t) {
+                answered(r, t.id(), 500_000);
+            } else if (a instanceof Relocate t && r.clients.containsKey(t.id()) && r.clients.get(t.id()).at != null) {
+                Client c = r.clients.get(t.id());
+                end(c, Decisions.Outcome.CANCELLED);
+                comeBack(c, 20_000, 200_000);
+            }
+        }
+    }
+
+    private void answered(Relay r, String id, long after) {
+        Client c = r.clients.remove(id);
+        if (c != null) {
+            refused++;
+            c.relay = null;
+            comeBack(c, Math.max(150_000, after), Math.max(500_000, after));
+            c.returning = false;
+        }
+    }
+
+    private void attempt(Relay r, Attempt t) {
+        Client c = r.clients.get(t.id());
+        int life = r.life;
+        if (c == null) {
+            return;
+        }
+        int n = r.tries.merge(t.id(), 1, Integer::sum) - 1;
+        Machine m = machines.get(t.server());
+        at(SET_UP, () -> {
+            if (r.life != life || c.relay != r || !t.id().equals(c.id)) {
+                return;
+            }
+            if (m.draining) {
+                tell(r, new AttemptEnded(t.id(), n, t.server(), Decisions.Outcome.FULL, false, SET_UP, null));
+                return;
+            }
+            m.piled += SET_UP_WORK;
+            m.held.add(c);
+            c.at = m;
+            tell(r, new Established(t.id(), n, t.server(), SET_UP));
+            tell(r, new LoadChanged(t.id(), n, t.server(), LOAD[c.cls] * UNIT));
+        });
+    }
+
+    private void run(long length) {
+        long until = now + length;
+        while (now < until) {
+            long next = now + STEP;
+            while (!due.isEmpty() && due.peek().at <= next) {
+                Due d = due.poll();
+                now = Math.max(now, d.at);
+                d.what.run();
+            }
+            now = next;
+            machines.values().forEach(this::work);
+            clients.forEach(c -> wanted += WORTH[c.cls]);
+        }
+    }
+
+    /** One step of a machine's work. */
+    private void work(Machine m) {
+        double does = m.rate * (m.entry.startedAt() == 0 ? 1
+                : Math.min(1, 0.13 + 0.87 * (now - m.entry.startedAt()) / 23_000_000));
+        m.piled = Math.max(0, m.piled + (m.asked() - does) * STEP / 1e6);
+        double delay = m.piled / does * 1e6;
+        if (delay < AIM) {
+            m.held.forEach(c -> served += WORTH[c.cls]);
+        } else if (delay > DROP_AT) {
+            drop(m, DROP_TO * does);
+        }
+    }
+
+    /** The newest go until what is left asks for less than this. */
+    private void drop(Machine m, double to) {
+        double keeps = 0;
+        Set<String> groups = new HashSet<>();
+        for (Client c : List.copyOf(m.held)) {
+            keeps += LOAD[c.cls] + (groups.contains(c.group) ? 0 : GROUP);
+            if (keeps < to) {
+                groups.add(c.group);
+            } else if (c.at == m) {
+                dropped++;
+                end(c, Decisions.Outcome.RESET);
+                comeBack(c, 150_000, 400_000);
+            }
+        }
+        m.piled *= 0.9;
+    }
+}
