Reload under steady traffic: ten SIGHUPs, no connection, line or attempt lost

Reloads were tested one at a time with feed servers that are not there.

Change: a test with a real relay process, two stand-in feed servers and two discoveries. 40 connections stand and talk each 20 ms, a new client comes each 5 ms, while every reload changes a class, the attempts allowed and the discovery.

--- /dev/null
+++ b/src/test/java/sandstack/ReloadUnderTrafficTest.java
@@ -0,0 +1,168 @@
+package sandstack;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import sandstack.standin.Discovery;
+import sandstack.standin.FeedServer;
+import sandstack.standin.Machine;
+import sandstack.standin.ShopClient;
+import sandstack.standin.ShopClient.Happened;
+import sandstack.standin.Yard;
+
+/** SIGHUP after SIGHUP under steady traffic: settings and discovery change, and no client notices. */
+@Timeout(60)
+class ReloadUnderTrafficTest {
+    private static final int RELOADS = 10;
+    private static final int STANDING = 40;
+    private static final long LINE_EVERY = 20_000;
+    private static final long CLIENT_EVERY = 5_000;
+    private static final long STAYS = 300_000;
+    private static final long PATIENCE = 5_000_000;
+
+    @TempDir
+    Path folder;
+
+    private final Yard yard;
+    private final List<Discovery> discoveries = new ArrayList<>();
+    private final List<FeedServer> servers = new ArrayList<>();
+    private final Map<Happened, Integer> happened = new EnumMap<>(Happened.class);
+    private final List<ShopClient> stay = new ArrayList<>();
+    private Process relay;
+    private BufferedReader log;
+    private int port;
+    private int asked;
+    private long lines;
+    private boolean traffic = true;
+
+    ReloadUnderTrafficTest() throws IOException {
+        yard = new Yard();
+        for (int i = 0; i < 2; i++) {
+            discoveries.add(yard.make(() -> new Discovery(yard)));
+            String uid = "s" + i;
+            servers.add(yard.make(() -> new FeedServer(yard, uid, "home", Machine.IDLE)));
+        }
+        // both discoveries know both servers: a move between them changes no placement
+        yard.run(() -> discoveries.forEach(d -> servers.forEach(s -> d.list(s, "box", 1, "ready"))));
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        yard.close();
+        if (relay != null) {
+            relay.destroyForcibly().waitFor();
+        }
+    }
+
+    /** The configuration of this reload: every second has another class, fewer attempts and the other discovery. */
+    private String config(int reload) throws IOException {
+        String text = Files.readString(Path.of("examples/config.json")).replace("127.0.0.1:3000", "127.0.0.1:0")
+                .replaceFirst("(\"discovery\": *)\"[^\"]*\"", "$1\"127.0.0.1:" + discoveries.get(reload % 2).port() + "\"")
+                .replaceFirst("\"known\": *\\{[^]]*]\\s*},", "");
+        return reload % 2 == 0 ? text
+                : text.replace("\"catalogue-feed\"", "\"price-feed\"").replace("\"max_attempts\": 6", "\"max_attempts\": 2");
+    }
+
+    private void untilLogged(String text) throws Exception {
+        CompletableFuture.runAsync(() -> {
+            try {
+                String line = log.readLine();
+                while (line != null && !line.contains(text)) {
+                    Matcher m = Pattern.compile("listens for lines at 127.0.0.1:([0-9]+)").matcher(line);
+                    port = m.find() ? Integer.parseInt(m.group(1)) : port;
+                    line = log.readLine();
+                }
+                assertThat(line).as("a log line with: " + text).isNotNull();
+                Matcher m = Pattern.compile("listens for lines at 127.0.0.1:([0-9]+)").matcher(line);
+                port = m.find() ? Integer.parseInt(m.group(1)) : port;
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        }).get(20, TimeUnit.SECONDS);
+    }
+
+    private void heard(ShopClient.Told told) {
+        happened.merge(told.what(), 1, Integer::sum);
+        if (told.what() == Happened.UP) {
+            told.client().talk(LINE_EVERY, took -> lines++);
+            if (!stay.contains(told.client())) {
+                yard.after(STAYS, told.client()::leave);
+            }
+        }
+    }
+
+    /** One that comes, is served and leaves; the next follows at its pace. */
+    private void passing() {
+        if (traffic) {
+            client();
+            yard.after(CLIENT_EVERY, this::passing);
+        }
+    }
+
+    private ShopClient client() {
+        int number = asked++;
+        return new ShopClient(yard, port, "id" + number, "key" + number, "c=order-status,d=3000,g=g" + number % 5, PATIENCE,
+                this::heard);
+    }
+
+    private int count(Happened what) {
+        return yard.on(() -> happened.getOrDefault(what, 0));
+    }
+
+    @Test
+    void noConnectionAndNoLineIsLostWhileSettingsAndDiscoveryChange() throws Exception {
+        Path file = Files.writeString(folder.resolve("config.json"), config(0));
+        ProcessBuilder program = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin/java").toString(),
+                "-cp", System.getProperty("java.class.path"), "sandstack.Main", "serve").redirectErrorStream(true);
+        program.environment().put("PROXY_CONFIG", file.toString());
+        relay = program.start();
+        log = relay.inputReader();
+        untilLogged("listens for lines");
+        yard.run(() -> {
+            for (int i = 0; i < STANDING; i++) {
+                stay.add(client());
+            }
+            passing();
+        });
+        for (int reload = 1; reload <= RELOADS; reload++) {
+            // awaited, not slept on: so many more were served by these settings before the next come
+            int up = count(Happened.UP);
+            while (count(Happened.UP) < up + 20) {
+                assertThat(relay.isAlive()).isTrue();
+                Thread.onSpinWait();
+            }
+            Files.writeString(file, config(reload));
+            assertThat(new ProcessBuilder("kill", "-HUP", Long.toString(relay.pid())).start().waitFor()).isZero();
+            untilLogged("configuration read again");
+        }
+        yard.run(() -> traffic = false);
+        while (yard.on(() -> happened.getOrDefault(Happened.LEFT, 0) < asked - STANDING)) {
+            assertThat(relay.isAlive()).isTrue();
+            Thread.onSpinWait();
+        }
+        assertThat(yard.on(() -> Map.copyOf(happened))).as("served and left, and nothing else")
+                .containsOnly(Map.entry(Happened.UP, asked), Map.entry(Happened.LEFT, asked - STANDING));
+        assertThat(yard.on(() -> stay.stream().filter(ShopClient::standing).count())).isEqualTo(STANDING);
+        long heard = yard.on(() -> lines);
+        assertThat(heard).as("lines that came back").isGreaterThan(asked);
+        assertThat(yard.on(() -> stay.stream().mapToLong(ShopClient::waiting).max().orElse(0)))
+                .as("microseconds that a line has been out").isLessThan(1_000_000);
+        long attempts = servers.stream().mapToLong(server -> yard.on(server::books).setups()).sum();
+        assertThat(attempts).as("one attempt each").isEqualTo(asked);
+    }
+}
