--- a/src/main/java/sandstack/CommandLineOfAll.java
+++ b/src/main/java/sandstack/CommandLineOfAll.java
@@ -31,8 +31,8 @@
 
     /** What commands take that decide by what is known of the feed servers. */
     static final class Known {
-        @Option(names = "--capacity", paramLabel = "FILE",
-                description = "What is known of the feed servers (default: deploy/capacity.toml, which states nothing).")
+        @Option(names = "--capacity", paramLabel = "FILE", description = "What is known of the feed servers "
+                + "(default: deploy/capacity.toml, which states nothing as shipped).")
         private Path file;
     }
 
--- a/src/main/java/sandstack/config/CapacityFile.java
+++ b/src/main/java/sandstack/config/CapacityFile.java
@@ -51,7 +51,7 @@
                 kinds.add(stated(kind.getValue(), "kinds." + kind.getKey(), other));
             }
             if (names.size() > MOST_KINDS) {
-                throw new BadSettings(FILE + ": kinds has " + names.size() + " tables, " + MOST_KINDS + " at most");
+                throw new BadSettings(file + ": kinds has " + names.size() + " tables, " + MOST_KINDS + " at most");
             }
             JsonNode l = root.path("limits");
             known(l, "limits", LIMITS);
--- a/src/test/java/sandstack/ReloadUnderTrafficTest.java
+++ b/src/test/java/sandstack/ReloadUnderTrafficTest.java
@@ -72,10 +72,12 @@
     /** The configuration of this reload: every second has another class, fewer attempts and the other discovery. */
     private String config(int reload) throws IOException {
         String text = Files.readString(Path.of("examples/config.json")).replace("127.0.0.1:3000", "127.0.0.1:0")
-                .replaceFirst("(\"discovery\": *)\"[^\"]*\"", "$1\"127.0.0.1:" + discoveries.get(reload % 2).port() + "\"")
+                .replaceFirst("(\"discovery\": *)\"[^\"]*\"",
+                        "$1\"127.0.0.1:" + discoveries.get(reload % 2).port() + "\"")
                 .replaceFirst("\"known\": *\\{[^]]*]\\s*},", "");
         return reload % 2 == 0 ? text
-                : text.replace("\"catalogue-feed\"", "\"price-feed\"").replace("\"max_attempts\": 6", "\"max_attempts\": 2");
+                : text.replace("\"catalogue-feed\"", "\"price-feed\"")
+                        .replace("\"max_attempts\": 6", "\"max_attempts\": 2");
     }
 
     private void untilLogged(String text) throws Exception {
@@ -116,8 +118,8 @@
 
     private ShopClient client() {
         int number = asked++;
-        return new ShopClient(yard, port, "id" + number, "key" + number, "c=order-status,d=3000,g=g" + number % 5, PATIENCE,
-                this::heard);
+        return new ShopClient(yard, port, "id" + number, "key" + number, "c=order-status,d=3000,g=g" + number % 5,
+                PATIENCE, this::heard);
     }
 
     private int count(Happened what) {
--- a/src/test/java/sandstack/config/CapacityFileTest.java
+++ b/src/test/java/sandstack/config/CapacityFileTest.java
@@ -51,6 +51,13 @@
         Path wrong = Files.writeString(folder.resolve("site.toml"), "enabled = true\n[servers]\nwork = -1\n");
         assertThatThrownBy(() -> CapacityFile.read(new OwnFiles(folder), wrong)).isInstanceOf(BadSettings.class)
                 .hasMessageStartingWith(wrong + ": servers.work must be");
+        StringBuilder kinds = new StringBuilder("enabled = true\n");
+        for (int i = 0; i < 65; i++) {
+            kinds.append("[kinds.k").append(i).append("]\nload = 1\n");
+        }
+        Files.writeString(wrong, kinds);
+        assertThatThrownBy(() -> CapacityFile.read(new OwnFiles(folder), wrong)).isInstanceOf(BadSettings.class)
+                .hasMessage(wrong + ": kinds has 65 tables, 64 at most");
     }
 
     @ParameterizedTest
