--- a/src/main/java/sandstack/CommandLineOfAll.java
+++ b/src/main/java/sandstack/CommandLineOfAll.java
@@ -4,13 +4,10 @@
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
 import java.io.IOException;
-import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IVersionProvider;
-import picocli.CommandLine.Mixin;
-import picocli.CommandLine.Option;
 import sandstack.benchlink.Link;
 import sandstack.benchlink.WireException;
 import sandstack.config.BadSettings;
@@ -29,13 +26,6 @@
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
-    /** What commands take that decide by what is known of the feed servers. */
-    static final class Known {
-        @Option(names = "--capacity", paramLabel = "FILE", description = "What is known of the feed servers "
-                + "(default: deploy/capacity.toml, which states nothing as shipped).")
-        private Path file;
-    }
-
     /** The version of the build. */
     static final class Version implements IVersionProvider {
         @Override
@@ -68,27 +58,27 @@
     }
 
     @Command(description = "A relay, as PROXY_CONFIG says.", mixinStandardHelpOptions = true)
-    int serve(@Mixin Known known) throws BadSettings, IOException {
-        Main.service(known.file).serve();
+    int serve() throws BadSettings, IOException {
+        Main.service().serve();
         return 0;
     }
 
     @Command(description = "A relay with a console on this terminal.", mixinStandardHelpOptions = true)
-    int console(@Mixin Known known) throws BadSettings, IOException {
-        Main.service(known.file).console();
+    int console() throws BadSettings, IOException {
+        Main.service().console();
         return 0;
     }
 
     @Command(description = "Starts, asks itself once and ends; for the build.", mixinStandardHelpOptions = true)
-    int rehearse(@Mixin Known known) throws BadSettings, IOException {
-        Main.service(known.file).rehearse();
+    int rehearse() throws BadSettings, IOException {
+        Main.service().rehearse();
         return 0;
     }
 
     @Command(description = "The decisions on the simulator's wire, on standard input and output.",
             mixinStandardHelpOptions = true)
-    int simhost(@Mixin Known known) throws BadSettings, IOException, WireException {
-        new Link(CapacityFile.read(Main.files(), known.file)).run(new FileInputStream(FileDescriptor.in),
+    int simhost() throws BadSettings, IOException, WireException {
+        new Link(CapacityFile.read(Main.files())).run(new FileInputStream(FileDescriptor.in),
                 new FileOutputStream(FileDescriptor.out));
         return 0;
     }
--- a/src/main/java/sandstack/Main.java
+++ b/src/main/java/sandstack/Main.java
@@ -10,7 +10,7 @@
 import sandstack.config.PlatformConfig;
 
 /**
- * Entry point. {@code serve}, alone or with {@code --capacity FILE} as the platform starts it, goes straight to the relay: the command line's library
+ * Entry point. {@code serve} alone, as the platform starts it, goes straight to the relay: the command line's library
  * would cost it start-up time and memory. Everything else is {@link CommandLineOfAll}'s.
  */
 public final class Main {
@@ -21,26 +21,23 @@
         return new OwnFiles(Path.of(System.getProperty("sandstack.deploy", "deploy")));
     }
 
-    /** @param named what is known of the feed servers; null where that is what our own file says */
-    static Service service(Path named) throws BadSettings {
+    static Service service() throws BadSettings {
         Logs.start();
         Map<String, String> env = System.getenv();
-        CapacityFile capacity = CapacityFile.read(files(), named);
+        CapacityFile capacity = CapacityFile.read(files());
         MachineKinds kinds = new MachineKinds(capacity.kinds());
         return new Service(PlatformConfig.load(env, kinds), env, files(), capacity, kinds);
     }
 
     public static void main(String[] args) {
-        boolean serves = args.length == 1 || args.length == 3 && args[1].equals("--capacity");
-        if (!serves || !args[0].equals("serve") && !args[0].equals("rehearse")) {
+        if (args.length != 1 || !args[0].equals("serve") && !args[0].equals("rehearse")) {
             System.exit(CommandLineOfAll.run(args));
         }
         try {
-            Service service = service(args.length == 1 ? null : Path.of(args[2]));
             if (args[0].equals("serve")) {
-                service.serve();
+                service().serve();
             } else {
-                service.rehearse();
+                service().rehearse();
             }
         } catch (BadSettings e) {
             System.err.println(args[0] + ": " + e.getMessage());
