--- a/src/main/java/sandstack/measure/OpenCommand.java
+++ b/src/main/java/sandstack/measure/OpenCommand.java
@@ -9,13 +9,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.Callable;
-import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
+import sandstack.config.BadSettings;
+import sandstack.config.PlatformConfig.Address;
 
 /**
  * {@code open}: one connection by hand. Asks a relay as a client does, waits for the answer before it says a word, then
@@ -50,23 +51,22 @@
     private int within;
 
     @Override
-    public Integer call() throws IOException {
-        int colon = relay.lastIndexOf(':');
-        if (colon <= 0 || !relay.substring(colon + 1).matches("[0-9]{1,5}") || port(colon) > 65_535 || within <= 0) {
-            throw new ParameterException(spec.commandLine(),
-                    within <= 0 ? "--within must be above 0: " + within : "not HOST:PORT: " + relay);
+    public Integer call() throws BadSettings, IOException {
+        if (within <= 0) {
+            throw new ParameterException(spec.commandLine(), "--within must be above 0: " + within);
         }
+        Address at = Address.parse(relay, "the relay's address");
         String first = "OPEN " + Long.toHexString(System.nanoTime()) + " " + key + " c=" + requestClass + ",d=" + within
                 + ",g=" + group;
         try (Socket socket = new Socket()) {
-            socket.connect(new InetSocketAddress(relay.substring(0, colon), port(colon)), within);
+            socket.connect(new InetSocketAddress(at.host(), at.port()), within);
             // the relay answers within the client's time; this end waits a little longer to hear it
             socket.setSoTimeout(within + 500);
             BufferedReader in = new BufferedReader(
                     new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1), LONGEST);
             String answer = say(socket, in, first);
             boolean stands = answer != null && (answer.equals("UP") || answer.startsWith("UP "));
-            for (String line : stands ? lines : List.<String>of()) {
+            for (String line : lines) {
                 stands = stands && say(socket, in, line) != null;
             }
             return stands ? 0 : 1;
@@ -76,10 +76,6 @@
         }
     }
 
-    private int port(int colon) {
-        return Integer.parseInt(relay.substring(colon + 1));
-    }
-
     /** Sends a line and prints the one that comes back; null where the connection ended, or is to move. */
     private String say(Socket socket, BufferedReader in, String line) throws IOException {
         socket.getOutputStream().write((line + "\r\n").getBytes(StandardCharsets.UTF_8));
@@ -87,9 +83,8 @@
         for (int told = 0; answer != null && answer.startsWith("LOAD ") && told < MOST_LOADS; told++) {
             answer = in.readLine();
         }
-        CommandLine out = spec.commandLine();
-        out.getOut().println(answer == null ? "(the connection ended)" : answer);
-        out.getOut().flush();
+        spec.commandLine().getOut().println(answer == null ? "(the connection ended)" : answer);
+        spec.commandLine().getOut().flush();
         return "MOVE".equals(answer) ? null : answer;
     }
 }
--- a/src/test/java/sandstack/ReloadUnderTrafficTest.java
+++ b/src/test/java/sandstack/ReloadUnderTrafficTest.java
@@ -28,6 +28,7 @@
 /** SIGHUP after SIGHUP under steady traffic: settings and discovery change, and no client notices. */
 @Timeout(60)
 class ReloadUnderTrafficTest {
+    private static final Pattern LISTENS = Pattern.compile("listens for lines at 127.0.0.1:([0-9]+)");
     private static final int RELOADS = 10;
     private static final int STANDING = 40;
     private static final long LINE_EVERY = 20_000;
@@ -83,15 +84,13 @@
     private void untilLogged(String text) throws Exception {
         CompletableFuture.runAsync(() -> {
             try {
-                String line = log.readLine();
-                while (line != null && !line.contains(text)) {
-                    Matcher m = Pattern.compile("listens for lines at 127.0.0.1:([0-9]+)").matcher(line);
-                    port = m.find() ? Integer.parseInt(m.group(1)) : port;
+                String line;
+                do {
                     line = log.readLine();
-                }
-                assertThat(line).as("a log line with: " + text).isNotNull();
-                Matcher m = Pattern.compile("listens for lines at 127.0.0.1:([0-9]+)").matcher(line);
-                port = m.find() ? Integer.parseInt(m.group(1)) : port;
+                    assertThat(line).as("a log line with: " + text).isNotNull();
+                    Matcher m = LISTENS.matcher(line);
+                    port = m.find() ? Integer.parseInt(m.group(1)) : port;
+                } while (!line.contains(text));
             } catch (IOException e) {
                 throw new IllegalStateException(e);
             }
