Let relays know of each other: membership, and five real ones with a link cut between them

Overload, copies and an order of work all need relays that know of each other, and nothing here did: relays shared nothing, and faults were put only between a relay and its feed servers.

fleet decides, without I/O, clock or thread: Reach (whom a member reaches itself), Roster (whom the library has, and what the others say that they reach), Board (small values that a member tells all), Membership (the three together, and the name that two processes both want). fleet.link carries it out over ScaleCube's SWIM, at one address, with frames, peers, calls and log lines bounded and messages read under a filter of known types. rig starts real processes with a link for each ordered pair that can be stopped either way and lets go what it held.

Words of the cut-off go through others: by questions alone the two sides of the cut never heard of their own state.

--- a/src/main/java/sandstack/CommandLineOfAll.java
+++ b/src/main/java/sandstack/CommandLineOfAll.java
@@ -4,14 +4,20 @@
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IVersionProvider;
+import picocli.CommandLine.Option;
 import sandstack.benchlink.Link;
 import sandstack.benchlink.WireException;
 import sandstack.config.BadSettings;
 import sandstack.config.CapacityFile;
+import sandstack.config.FleetFile;
+import sandstack.fleet.link.FleetLink;
+import sandstack.fleet.link.FleetText;
 import sandstack.measure.MeasureCommand;
 import sandstack.measure.OpenCommand;
 import sandstack.measure.StandInCommand;
@@ -22,6 +28,7 @@
         subcommands = {MeasureCommand.class, OpenCommand.class, StandInCommand.class})
 final class CommandLineOfAll implements Callable<Integer> {
     private static final int WRONG = 2;
+    private static final String FLEET = "Be a member of the fleet that deploy/fleet.toml describes and enables.";
 
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
@@ -58,17 +65,37 @@
     }
 
     @Command(description = "A relay, as PROXY_CONFIG says.", mixinStandardHelpOptions = true)
-    int serve() throws BadSettings, IOException {
-        Main.service().serve();
+    int serve(@Option(names = "--fleet", description = FLEET) boolean fleet) throws BadSettings, IOException {
+        Service service = Main.service();
+        member(service, fleet);
+        service.serve();
         return 0;
     }
 
     @Command(description = "A relay with a console on this terminal.", mixinStandardHelpOptions = true)
-    int console() throws BadSettings, IOException {
-        Main.service().console();
+    int console(@Option(names = "--fleet", description = FLEET) boolean fleet) throws BadSettings, IOException {
+        Service service = Main.service();
+        FleetLink link = member(service, fleet);
+        service.console(link == null ? Map.of() : Map.of("fleet", () -> FleetText.lines(link.view()),
+                "fleet json", () -> List.of(FleetText.json(link.view()))));
         return 0;
     }
 
+    /** Joins the fleet before the relay serves, so that a second process of its name never does; null where it is off. */
+    private static FleetLink member(Service service, boolean fleet) throws BadSettings {
+        if (!fleet) {
+            return null;
+        }
+        FleetFile file = FleetFile.read(Main.files());
+        if (file == null) {
+            throw new BadSettings(FleetFile.FILE + ": enabled is not true, but the command says --fleet; it takes both");
+        }
+        FleetLink link = new FleetLink(file, service.name(), service.zone());
+        link.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(link::close, "leave"));
+        return link;
+    }
+
     @Command(description = "Starts, asks itself once and ends; for the build.", mixinStandardHelpOptions = true)
     int rehearse() throws BadSettings, IOException {
         Main.service().rehearse();
--- a/src/main/java/sandstack/Service.java
+++ b/src/main/java/sandstack/Service.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.function.Supplier;
 import java.util.logging.Logger;
 import sandstack.config.BadSettings;
 import sandstack.config.CapacityFile;
@@ -98,6 +99,17 @@
         this.platform = new PlatformFront(loop, relay, lobby);
     }
 
+    /** The relay's name. */
+    String name() {
+        return config.name();
+    }
+
+    /** Name of the zone in which it runs. */
+    String zone() {
+        int home = terms.settings().homeZone();
+        return home < config.zones().size() ? config.zones().get(home) : String.valueOf(home);
+    }
+
     private void askDiscovery() {
         watch.ask();
     }
@@ -109,10 +121,15 @@
         await(new CountDownLatch(1));
     }
 
-    /** Serves with a console at this terminal, until somebody quits or drains. */
-    public void console() throws BadSettings, IOException {
+    /**
+     * Serves with a console at this terminal, until somebody quits or drains.
+     *
+     * @param more commands of parts that are on
+     */
+    public void console(Map<String, Supplier<List<String>>> more) throws BadSettings, IOException {
         start();
-        new Console(new Commands(relay, loop, () -> listeners, () -> new Thread(() -> System.exit(0)).start())).run();
+        new Console(new Commands(relay, loop, () -> listeners, () -> new Thread(() -> System.exit(0)).start(),
+                more)).run();
         System.exit(0);
     }
 
--- a/src/main/java/sandstack/console/Commands.java
+++ b/src/main/java/sandstack/console/Commands.java
@@ -29,8 +29,10 @@
      * @param loop runs what is given on the relay's thread
      * @param listeners a line for each address at which the relay listens
      * @param drain begins to take the relay out of service
+     * @param more commands of parts that are on
      */
-    public Commands(Relay relay, Executor loop, Supplier<List<String>> listeners, Runnable drain) {
+    public Commands(Relay relay, Executor loop, Supplier<List<String>> listeners, Runnable drain,
+            Map<String, Supplier<List<String>>> more) {
         this.relay = relay;
         this.loop = loop;
         this.listeners = listeners;
@@ -42,6 +44,7 @@
         commands.put("tenants", this::tenants);
         commands.put("figures", relay::figures);
         commands.put("drain", this::drain);
+        commands.putAll(more);
         commands.put("help", () -> List.of("commands: " + String.join(", ", commands.keySet()) + ", quit"));
     }
 
--- /dev/null
+++ b/src/main/java/sandstack/fleet/Life.java
@@ -0,0 +1,25 @@
+package sandstack.fleet;
+
+import java.util.List;
+
+/**
+ * One life of a relay: from its start until it ends. A restart is another life of the same name.
+ *
+ * @param id differs for each start, on whatever disk; never used twice
+ * @param name the relay's, which its lives share
+ * @param machine what it shares with whatever fails with it
+ * @param address where members reach it
+ */
+public record Life(String id, String name, String zone, String machine, String address) {
+    /** Longer words are not told and not taken. */
+    public static final int LONGEST = 200;
+
+    public Life {
+        for (String word : List.of(id, name, zone, machine, address)) {
+            if (word.length() > LONGEST) {
+                throw new IllegalArgumentException("longer than " + LONGEST + " characters: "
+                        + word.substring(0, 20) + "...");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sandstack/fleet/Membership.java
@@ -0,0 +1,208 @@
+package sandstack.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import sandstack.fleet.Words.Answer;
+import sandstack.fleet.Words.News;
+import sandstack.fleet.Words.Question;
+
+/**
+ * One member's part in knowing the others: puts the library's word, own questions and the words of others together, and
+ * says whom to ask next. Decides nothing about requests of clients.
+ *
+ * <p><b>Failure model.</b> Members crash and restart with or without their disk, stop for any time and go on, are slow;
+ * links lose, delay, cut one way or both. Members do not lie; what is no word of ours is refused before it comes here.
+ * <b>Promised:</b> the values of a member that others hold are values that it told, the later never before the earlier;
+ * a member is called {@link Standing#PARTLY} and not lost while anyone reaches it and says so; of two processes that
+ * start with one name at most one is told that the name is its own, as long as they reach each other when they start.
+ * <b>Not promised:</b> that all hold the same view at one moment, or that a name has one holder across a cut: what
+ * needs that needs one order, and this has none.
+ *
+ * <p>One thread; a turn costs O(members), {@link #view} O(members squared).
+ */
+public final class Membership {
+    /** Turns come this often; one that comes much later was slept through. */
+    public static final long TURN = 100_000;
+    static final long SLEPT = 10 * TURN;
+    /** So long after its start a life that heard of no namesake holds its name. */
+    public static final long SETTLES = 1_500_000;
+
+    static final long SPREAD_EVERY = 500_000;
+
+    /** How all stand, and what they tell, at one moment. */
+    public record View(Life self, List<Roster.Line> lines, Map<String, Board.Held> told, boolean settled,
+            Set<String> unreached, long at) {}
+
+    private final Roster roster;
+    private final Reach reach;
+    private final Board board;
+    private final long began;
+    private News mine;
+    private long lastTurn;
+    private long spread;
+    private long spreadAt = Long.MIN_VALUE / 2;
+    private boolean settled;
+    private String takenBy;
+
+    public Membership(Life self, long now, RandomGenerator chance) {
+        roster = new Roster(self, now);
+        reach = new Reach(chance);
+        board = new Board(self.id());
+        began = now;
+        lastTurn = now;
+        mine = new News(0, Map.of(), Set.of(), Set.of());
+    }
+
+    /** The library has this life for a member. */
+    public void added(Life life, long now) {
+        roster.added(life, now);
+        membersChanged();
+    }
+
+    /** It said that it goes. */
+    public void left(String id, long now) {
+        roster.left(id, now);
+        membersChanged();
+    }
+
+    /** The library gave it up. */
+    public void removed(String id, long now) {
+        roster.removed(id, now);
+        membersChanged();
+    }
+
+    private void membersChanged() {
+        reach.members(roster.others());
+        // one that comes back from behind a cut is asked for all that it tells
+        board.keep(roster.others());
+        reachChanged();
+    }
+
+    private void reachChanged() {
+        Set<String> unknown = reach.unknown();
+        Set<String> unreached = reach.unreached();
+        if (!unknown.equals(mine.unknown()) || !unreached.equals(mine.unreached())) {
+            say(board.state(roster.self().id()).values(), unknown, unreached);
+        }
+        roster.says(roster.self().id(), unknown, unreached);
+    }
+
+    private void say(Map<String, String> values, Set<String> unknown, Set<String> unreached) {
+        mine = new News(mine.number() + 1, values, unknown, unreached);
+    }
+
+    /**
+     * Changes a value that this member tells all; null takes it away.
+     *
+     * @throws IllegalArgumentException where it is too long, or there are too many
+     */
+    public void tell(String key, String value, long now) {
+        if (board.tell(key, value, now)) {
+            say(board.state(roster.self().id()).values(), mine.unknown(), mine.unreached());
+        }
+    }
+
+    /** Whom to ask now. */
+    public List<Life> turn(long now) {
+        if (now - lastTurn > SLEPT) {
+            // others may have waited for this process in vain; nothing follows about them
+            reach.slept();
+        }
+        lastTurn = now;
+        settled |= takenBy == null && now - began >= SETTLES;
+        List<Life> ask = new ArrayList<>();
+        reach.due(now).forEach(id -> ask.add(roster.life(id)));
+        return ask;
+    }
+
+    /** What to ask this member. */
+    public Question question(Life of) {
+        return new Question(Words.VERSION, roster.self().id(), roster.self().name(), numberOf(of.id()), settled);
+    }
+
+    private long numberOf(String id) {
+        return board.state(id).number();
+    }
+
+    /** What to answer. */
+    public Answer answer(Question question, long now) {
+        namesake(question.from(), question.name(), question.settled());
+        return new Answer(Words.VERSION, roster.self().id(), roster.self().name(),
+                question.has() < mine.number() ? mine : null, settled);
+    }
+
+    /** A member answered. */
+    public void answered(Life asked, Answer answer, long now) {
+        if (!answer.id().equals(asked.id())) {
+            // another life answers at its address: this one is gone, whatever the library still waits for
+            missed(asked);
+            return;
+        }
+        namesake(answer.id(), answer.name(), answer.settled());
+        boolean changed = reach.answered(asked.id());
+        heard(asked.id(), answer.news(), now);
+        if (changed) {
+            reachChanged();
+        }
+    }
+
+    /** What a member tells, by whatever way: one that this one does not reach is heard of through others. */
+    public void heard(String id, News news, long now) {
+        if (news != null && roster.present(id)
+                && board.heard(id, new Board.State(news.number(), news.values()), now)) {
+            roster.says(id, news.unknown(), news.unreached());
+        }
+    }
+
+    /** What is new here and has to be spread now; null where nothing is. What changes often is spread once a while. */
+    public News spread(long now) {
+        if (spread == mine.number() || now - spreadAt < SPREAD_EVERY) {
+            return null;
+        }
+        spread = mine.number();
+        spreadAt = now;
+        return mine;
+    }
+
+    /** A question to this member had no answer in time. */
+    public void missed(Life asked) {
+        if (reach.missed(asked.id())) {
+            reachChanged();
+        }
+    }
+
+    /** Of two lives of one name that live, the one that holds it keeps it; of two that start, the lower id. */
+    private void namesake(String id, String name, boolean holds) {
+        if (!settled && takenBy == null && name.equals(roster.self().name()) && !id.equals(roster.self().id())
+                && (holds || id.compareTo(roster.self().id()) < 0)) {
+            takenBy = id;
+        }
+    }
+
+    /** The id of the life that holds this one's name; null where it is its own, or nobody has said so. */
+    public String takenBy() {
+        return takenBy;
+    }
+
+    /** Whether this life holds its name. */
+    public boolean settled() {
+        return settled;
+    }
+
+    /** How all stand now. */
+    public View view(long now) {
+        Map<String, Board.Held> told = new HashMap<>();
+        List<Roster.Line> lines = roster.lines(now);
+        for (Roster.Line line : lines) {
+            Board.Held h = board.held(line.life().id());
+            if (h != null && line.standing().present()) {
+                told.put(line.life().id(), h);
+            }
+        }
+        return new View(roster.self(), lines, Map.copyOf(told), settled, reach.unreached(), now);
+    }
+}
--- /dev/null
+++ b/src/main/java/sandstack/fleet/Roster.java
@@ -0,0 +1,172 @@
+package sandstack.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * All lives that this member has heard of, and how each stands. Three things are put together: whom the library holds
+ * for a member, whom this one reaches itself, and whom the others say that they reach.
+ *
+ * <p>What it promises: a life that is gone never comes back (a restart has another id); where all members tell each
+ * other the same, all derive the same standing; nothing follows from comparing clocks of two machines. It does not
+ * promise that two members agree at one moment: while a cut lasts, both sides call the other lost.
+ *
+ * <p>One thread; O(members squared) a look at all, O(1) an event. Of the gone the last {@link #GONE_KEPT} are kept.
+ */
+public final class Roster {
+    static final int GONE_KEPT = 64;
+
+    private static final class Entry {
+        final Life life;
+        Standing fate;
+        long since;
+
+        Entry(Life life, long since) {
+            this.life = life;
+            this.since = since;
+        }
+    }
+
+    /** What a member says of its own reach: whom it has not asked enough yet, and whom it does not reach. */
+    private record Say(Set<String> unknown, Set<String> unreached) {}
+
+    /**
+     * How one life stands.
+     *
+     * @param since when that began here, of the caller's clock
+     * @param reached how many members with a say reach it
+     * @param voices how many members have a say about it
+     * @param against names of those who do not reach it
+     */
+    public record Line(Life life, Standing standing, long since, int reached, int voices, List<String> against) {}
+
+    private final Life self;
+    private final long began;
+    private final Map<String, Entry> entries = new LinkedHashMap<>();
+    private final Map<String, Say> says = new HashMap<>();
+    private final Map<String, Standing> told = new HashMap<>();
+    private final Map<String, Long> toldSince = new HashMap<>();
+
+    public Roster(Life self, long now) {
+        this.self = self;
+        this.began = now;
+        added(self, now);
+    }
+
+    public Life self() {
+        return self;
+    }
+
+    /** The library has this life for a member. */
+    public void added(Life life, long now) {
+        Entry entry = entries.get(life.id());
+        if (entry == null) {
+            entries.put(life.id(), new Entry(life, now));
+        } else if (entry.fate == Standing.LOST) {
+            // behind a cut it lived on: the same life, not a new one
+            entry.fate = null;
+            entry.since = now;
+        }
+    }
+
+    /** The life said that it goes. */
+    public void left(String id, long now) {
+        gone(id, Standing.LEFT, now);
+    }
+
+    /** The library gave it up; one that had said that it goes has left. */
+    public void removed(String id, long now) {
+        gone(id, Standing.LOST, now);
+    }
+
+    private void gone(String id, Standing how, long now) {
+        Entry entry = entries.get(id);
+        if (entry == null || entry.fate == Standing.LEFT || id.equals(self.id())) {
+            return;
+        }
+        entry.fate = how;
+        entry.since = now;
+        says.remove(id);
+        forgetOldest();
+    }
+
+    private void forgetOldest() {
+        List<Entry> gone = new ArrayList<>(entries.values().stream().filter(e -> e.fate != null)
+                .sorted(Comparator.comparingLong(e -> e.since)).toList());
+        for (int i = 0; i < gone.size() - GONE_KEPT; i++) {
+            String id = gone.get(i).life.id();
+            entries.remove(id);
+            told.remove(id);
+            toldSince.remove(id);
+        }
+    }
+
+    /**
+     * What a member says that it reaches.
+     *
+     * @param unknown of whom it can say nothing yet
+     * @param unreached whom it does not reach
+     */
+    public void says(String id, Set<String> unknown, Set<String> unreached) {
+        if (present(id)) {
+            says.put(id, new Say(Set.copyOf(unknown), Set.copyOf(unreached)));
+        }
+    }
+
+    /** Whether it is a member now. */
+    boolean present(String id) {
+        Entry entry = entries.get(id);
+        return entry != null && entry.fate == null;
+    }
+
+    /** Ids of all members but this one. */
+    public List<String> others() {
+        return entries.values().stream().filter(e -> e.fate == null && e.life != self).map(e -> e.life.id()).toList();
+    }
+
+    /** The life with this id, gone or not; null where there is none. */
+    public Life life(String id) {
+        Entry entry = entries.get(id);
+        return entry == null ? null : entry.life;
+    }
+
+    /** Present lives of this one's own name. */
+    public List<Life> namesakes() {
+        return entries.values().stream().filter(e -> e.fate == null && e.life != self
+                && e.life.name().equals(self.name())).map(e -> e.life).toList();
+    }
+
+    /** How all stand, by name and then by age. */
+    public List<Line> lines(long now) {
+        List<Line> lines = new ArrayList<>();
+        for (Entry e : entries.values()) {
+            String id = e.life.id();
+            List<String> against = new ArrayList<>();
+            int voices = 0;
+            for (Map.Entry<String, Say> say : says.entrySet()) {
+                // whoever is not reached itself by us has its word all the same: it came by others
+                if (!say.getKey().equals(id) && !say.getValue().unknown().contains(id)) {
+                    voices++;
+                    if (say.getValue().unreached().contains(id)) {
+                        against.add(entries.get(say.getKey()).life.name());
+                    }
+                }
+            }
+            against.sort(null);
+            Standing is = e.fate != null ? e.fate : against.isEmpty() ? Standing.ALIVE
+                    : against.size() < voices ? Standing.PARTLY : Standing.SUSPECT;
+            if (told.put(id, is) != is) {
+                toldSince.put(id, e.life == self ? began : now);
+            }
+            lines.add(new Line(e.life, is, toldSince.get(id), voices - against.size(), voices, against));
+        }
+        lines.sort(Comparator.comparing((Line l) -> l.life().name()).thenComparingLong(Line::since)
+                .thenComparing(l -> l.life().id()));
+        return lines;
+    }
+}
--- /dev/null
+++ b/src/main/java/sandstack/fleet/link/Bodies.java
@@ -0,0 +1,53 @@
+package sandstack.fleet.link;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import sandstack.fleet.Words;
+
+/** The members' words as JSON, each with its version. Pure; O(characters) a body. */
+final class Bodies {
+    private static final ObjectMapper JSON = new ObjectMapper(JsonFactory.builder()
+            .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(8).build()).build());
+
+    /** A body that is none of ours. */
+    static final class NotUnderstood extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        NotUnderstood(String why) {
+            super(why);
+        }
+    }
+
+    private Bodies() {}
+
+    static String text(Object words) {
+        try {
+            return JSON.writeValueAsString(words);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("words of ours that are no JSON", e);
+        }
+    }
+
+    /** Reads a body; the version is looked at before anything else, as a later one may have other fields. */
+    static <T> T read(Object data, Class<T> type) throws NotUnderstood {
+        if (!(data instanceof String text)) {
+            throw new NotUnderstood("a body that is no text");
+        }
+        try {
+            JsonNode body = JSON.readTree(text);
+            if (!body.path("v").isInt() || body.path("v").asInt() < 1) {
+                throw new NotUnderstood("a body without a version");
+            }
+            if (body.path("v").asInt() > Words.VERSION) {
+                throw new NotUnderstood("version " + body.path("v").asInt() + " of the words, known are up to "
+                        + Words.VERSION);
+            }
+            return JSON.treeToValue(body, type);
+        } catch (JsonProcessingException | IllegalArgumentException e) {
+            throw new NotUnderstood("a body that is no " + type.getSimpleName());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sandstack/fleet/link/FleetText.java
@@ -0,0 +1,55 @@
+package sandstack.fleet.link;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import sandstack.fleet.Board;
+import sandstack.fleet.Life;
+import sandstack.fleet.Membership;
+import sandstack.fleet.Roster;
+
+/** What the console shows of a view. Pure; O(members). */
+public final class FleetText {
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private FleetText() {}
+
+    /** A line a member. */
+    public static List<String> lines(Membership.View view) {
+        List<String> lines = new ArrayList<>();
+        for (Roster.Line line : view.lines()) {
+            Life life = line.life();
+            lines.add(String.format("%-12s %s  %-7s since %6.1f s  zone %s  machine %s  %s%s", life.name(),
+                    life.id().substring(0, Math.min(8, life.id().length())), line.standing(),
+                    Math.max(0, view.at() - line.since()) / 1e6, life.zone(), life.machine(),
+                    life.id().equals(view.self().id()) ? "this one"
+                            : "reached by " + line.reached() + " of " + line.voices(),
+                    line.against().isEmpty() ? "" : ", not by " + String.join(", ", line.against())));
+        }
+        return lines;
+    }
+
+    /** All as one JSON object. */
+    public static String json(Membership.View view) {
+        ObjectNode root = JSON.createObjectNode().put("self", view.self().id()).put("settled", view.settled());
+        ArrayNode members = root.putArray("members");
+        for (Roster.Line line : view.lines()) {
+            Life life = line.life();
+            ObjectNode member = members.addObject().put("name", life.name()).put("life", life.id())
+                    .put("zone", life.zone()).put("machine", life.machine()).put("address", life.address())
+                    .put("standing", line.standing().name())
+                    .put("since_ms", Math.max(0, view.at() - line.since()) / 1_000)
+                    .put("reached", line.reached()).put("voices", line.voices());
+            line.against().forEach(member.putArray("against")::add);
+            Board.Held held = view.told().get(life.id());
+            if (held != null) {
+                ObjectNode told = member.putObject("told");
+                held.state().values().forEach(told::put);
+                member.put("told_ms", Math.max(0, view.at() - held.at()) / 1_000);
+            }
+        }
+        return root.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/sandstack/fleet/link/OneAddress.java
@@ -0,0 +1,121 @@
+package sandstack.fleet.link;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.scalecube.cluster.transport.api.Transport;
+import io.scalecube.cluster.transport.api.TransportConfig;
+import io.scalecube.cluster.transport.api.TransportFactory;
+import io.scalecube.transport.netty.Receiver;
+import io.scalecube.transport.netty.Sender;
+import io.scalecube.transport.netty.TransportImpl;
+import io.scalecube.transport.netty.TransportImpl.ReceiverContext;
+import io.scalecube.transport.netty.TransportImpl.SenderContext;
+import io.scalecube.cluster.transport.api.Message;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import reactor.core.publisher.Mono;
+import reactor.netty.Connection;
+import reactor.netty.DisposableServer;
+import reactor.netty.NettyPipeline;
+import reactor.netty.tcp.TcpClient;
+import reactor.netty.tcp.TcpServer;
+
+/**
+ * The library's TCP, at one address of the machine instead of all, with bounds of our own: so many peers, frames so
+ * long, and a peer that sends nothing for a while is hung up on. Threads are the library's.
+ */
+final class OneAddress implements TransportFactory {
+    private static final int LENGTH_BYTES = 4;
+    /** Members talk each second; whoever says nothing for so long is none, or behind a cut. */
+    private static final long SILENT_SECONDS = 30;
+
+    private final String host;
+    private final int mostPeers;
+    private final AtomicInteger peers = new AtomicInteger();
+
+    OneAddress(String host, int mostPeers) {
+        this.host = host;
+        this.mostPeers = mostPeers;
+    }
+
+    @Override
+    public Transport createTransport(TransportConfig config) {
+        return new TransportImpl(config.messageCodec(), new In(config), new Out(config), config.addressMapper());
+    }
+
+    /** Frames belong to the channel, not to what the library does with it: they stay as long as it does. */
+    private static void frames(Channel channel, int most) {
+        ChannelPipeline pipeline = channel.pipeline();
+        pipeline.addBefore(NettyPipeline.ReactiveBridge, "length", new LengthFieldPrepender(LENGTH_BYTES));
+        pipeline.addBefore(NettyPipeline.ReactiveBridge, "frame",
+                new LengthFieldBasedFrameDecoder(most, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
+    }
+
+    /** What comes in. */
+    private final class In implements Receiver {
+        private final TransportConfig config;
+
+        In(TransportConfig config) {
+            this.config = config;
+        }
+
+        @Override
+        public Mono<DisposableServer> bind() {
+            return Mono.deferContextual(context -> listening(context.get(ReceiverContext.class)));
+        }
+
+        private Mono<DisposableServer> listening(ReceiverContext context) {
+            return TcpServer.create().host(host).port(config.port()).runOn(context.loopResources())
+                    .childOption(ChannelOption.TCP_NODELAY, true).doOnConnection(this::accepted)
+                    .doOnChannelInit((observer, channel, remote) -> {
+                        frames(channel, config.maxFrameLength());
+                        channel.pipeline().addFirst("silent", new ReadTimeoutHandler(SILENT_SECONDS, TimeUnit.SECONDS));
+                    })
+                    .handle((in, out) -> in.receive().retain().doOnNext(context::onMessage).then())
+                    .bind().cast(DisposableServer.class);
+        }
+
+        private void accepted(Connection connection) {
+            if (peers.incrementAndGet() > mostPeers) {
+                peers.decrementAndGet();
+                connection.dispose();
+                return;
+            }
+            connection.onDispose(peers::decrementAndGet);
+        }
+    }
+
+    /** What goes out. */
+    private static final class Out implements Sender {
+        private final TransportConfig config;
+
+        Out(TransportConfig config) {
+            this.config = config;
+        }
+
+        @Override
+        public Mono<Connection> connect(String address) {
+            return Mono.deferContextual(context -> TcpClient.newConnection()
+                    .runOn(context.get(SenderContext.class).loopResources())
+                    .host(Transport.parseHost(address)).port(Transport.parsePort(address))
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, config.connectTimeout())
+                    .doOnChannelInit((observer, channel, remote) -> frames(channel, config.maxFrameLength())).connect()
+                    .cast(Connection.class));
+        }
+
+        @Override
+        public Mono<Void> send(Message message) {
+            return Mono.deferContextual(context -> {
+                Connection connection = context.get(Connection.class);
+                SenderContext sender = context.get(SenderContext.class);
+                return connection.outbound()
+                        .sendObject(Mono.fromCallable(() -> sender.messageEncoder().apply(message)), any -> true).then();
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sandstack/rig/FleetRig.java
@@ -0,0 +1,294 @@
+package sandstack.rig;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+import sandstack.standin.Discovery;
+import sandstack.standin.FeedServer;
+import sandstack.standin.Machine;
+import sandstack.standin.Yard;
+
+/**
+ * So many relays of one fleet as real processes, each with an address and a folder of its own, and a link for each
+ * ordered pair. All is on loopback, at ports of the system's choice. One caller's thread; the links live on the yard's.
+ */
+public final class FleetRig implements AutoCloseable {
+    private static final List<String> JAVA = List.of(Path.of(System.getProperty("java.home"), "bin/java").toString(),
+            "-Xmx64m", "-Xss256k", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData");
+    private static final int SEEDS = 3;
+
+    private final int size;
+    private final int zones;
+    private final List<String> program;
+    private final Path folder;
+    private final Yard yard;
+    private final Discovery discovery;
+    private final int[] ports;
+    private final PairLink[][] links;
+    /** Whether what the first sends reaches the second, whoever dialled. */
+    private final boolean[][] passes;
+    private final MemberProcess[] members;
+
+    /**
+     * Makes the links and the folders; starts nobody.
+     *
+     * @param program what follows {@code java} and its options, as {@code -jar target/sandstack.jar}
+     * @param zones members are spread over so many
+     */
+    public FleetRig(List<String> program, int size, int zones) throws IOException {
+        this.program = program;
+        this.size = size;
+        this.zones = zones;
+        this.folder = Files.createTempDirectory("sandstack-fleet");
+        this.yard = new Yard();
+        this.discovery = yard.make(() -> new Discovery(yard));
+        FeedServer server = yard.make(() -> new FeedServer(yard, "s0", "zone-0", Machine.IDLE));
+        yard.run(() -> discovery.list(server, "box", 1, "ready"));
+        ports = new int[size];
+        links = new PairLink[size][size];
+        passes = new boolean[size][size];
+        members = new MemberProcess[size];
+        for (int i = 0; i < size; i++) {
+            try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName(host(i)))) {
+                ports[i] = probe.getLocalPort();
+            }
+        }
+        for (int i = 0; i < size; i++) {
+            for (int j = 0; j < size; j++) {
+                int to = j;
+                long seed = (long) i * size + j;
+                passes[i][j] = true;
+                links[i][j] = i == j ? null : yard.make(() -> new PairLink(yard, host(to), ports[to], seed));
+            }
+        }
+    }
+
+    /** Each has an address of its own: 127.77.0.1 and up. */
+    private static String host(int i) {
+        return "127.77." + i / 250 + "." + (i % 250 + 1);
+    }
+
+    /** The address at which the others know a member. */
+    public String address(int i) {
+        return host(i) + ":" + ports[i];
+    }
+
+    public int size() {
+        return size;
+    }
+
+    /** The name of a member. */
+    public static String name(int i) {
+        return "m" + i;
+    }
+
+    /** Starts a member, or starts it again; waits for nothing. */
+    public void start(int i) throws IOException {
+        start(i, name(i));
+    }
+
+    /** The same under another name. */
+    public void start(int i, String name) throws IOException {
+        Path own = folder.resolve("m" + i);
+        StringBuilder toml = new StringBuilder("enabled = true\ninstallation = \"rig\"\nlisten = \"" + address(i)
+                + "\"\nmachine = \"machine-" + i + "\"\nmembers = [");
+        for (int j = 0; j < Math.min(SEEDS, size); j++) {
+            toml.append(j == 0 ? "" : ", ").append('"').append(address(j)).append('"');
+        }
+        toml.append("]\n[via]\n");
+        for (int j = 0; j < size; j++) {
+            if (j != i) {
+                toml.append('"').append(address(j)).append("\" = \"127.0.0.1:").append(links[i][j].port())
+                        .append("\"\n");
+            }
+        }
+        MemberProcess.file(own, "deploy/fleet.toml", toml.toString());
+        MemberProcess.file(own, "config.json", config(i, name));
+        List<String> words = new ArrayList<>(JAVA);
+        words.add("-Dsandstack.deploy=" + own.resolve("deploy"));
+        words.addAll(program);
+        members[i] = new MemberProcess(words, own, List.of("console", "--fleet"));
+    }
+
+    private String config(int i, String name) throws IOException {
+        String example = Files.readString(Path.of("examples/config.json"));
+        return example.replaceFirst("\"name\": *\"[^\"]*\"", "\"name\": \"" + name + "\"")
+                .replaceFirst("\"listen\": *\"[^\"]*\"", "\"listen\": \"" + host(i) + ":0\"")
+                .replaceFirst("\"discovery\": *\"[^\"]*\"", "\"discovery\": \"127.0.0.1:" + discovery.port() + "\"")
+                .replaceFirst("\"known\": *\\{[^]]*]\\s*},", "")
+                .replaceFirst("\"locality\": *0", "\"locality\": " + i % zones)
+                .replaceFirst("\"zones\": *\\[[^]]*]", "\"zones\": [" + String.join(", ",
+                        Stream.iterate(0, z -> z + 1).limit(zones).map(z -> "\"zone-" + z + "\"").toList()) + "]");
+    }
+
+    /** Starts all. */
+    public void startAll() throws IOException {
+        for (int i = 0; i < size; i++) {
+            start(i);
+        }
+    }
+
+    /** The process of a member; null where it was never started. */
+    MemberProcess member(int i) {
+        return members[i];
+    }
+
+    public void kill(int i) {
+        members[i].close();
+    }
+
+    /** Asks it to stop, and waits until it has. */
+    public void stop(int i) throws InterruptedException {
+        members[i].stop();
+        members[i].ended(20);
+    }
+
+    public void pause(int i) throws IOException {
+        members[i].pause();
+    }
+
+    public void resume(int i) throws IOException {
+        members[i].resume();
+    }
+
+    /** From now on nothing that the first sends reaches the second. */
+    public void cutOneWay(int from, int to) {
+        passes(from, to, false);
+    }
+
+    /** Nothing passes between the two. */
+    public void cut(int a, int b) {
+        passes(a, b, false);
+        passes(b, a, false);
+    }
+
+    /** All passes again between the two, and what was held too. */
+    public void heal(int a, int b) {
+        passes(a, b, true);
+        passes(b, a, true);
+    }
+
+    private void passes(int from, int to, boolean passing) {
+        passes[from][to] = passing;
+        yard.run(() -> {
+            links[from][to].stop(!passes[from][to], !passes[to][from]);
+            links[to][from].stop(!passes[to][from], !passes[from][to]);
+        });
+    }
+
+    /** Breaks all connections between the two; new ones can be made. */
+    public void reset(int a, int b) {
+        yard.run(() -> {
+            links[a][b].reset();
+            links[b][a].reset();
+        });
+    }
+
+    /** Makes the way between the two slow, in microseconds and bytes a second. */
+    public void slow(int a, int b, long delay, long jitter, long bytesASecond) {
+        yard.run(() -> {
+            links[a][b].slow(delay, jitter, bytesASecond);
+            links[b][a].slow(delay, jitter, bytesASecond);
+        });
+    }
+
+    /** How member i sees each life: "name standing", as one text in the order of names; null where it is silent. */
+    public String seen(int i) {
+        Map<String, String> seen = standings(i);
+        return seen == null ? null : String.join(" ", seen.entrySet().stream().map(e -> e.getKey() + "="
+                + e.getValue()).toList());
+    }
+
+    /**
+     * How member i sees each name: the standing of its present life, else of its last. Null where it does not answer.
+     */
+    public Map<String, String> standings(int i) {
+        JsonNode view = members[i].view();
+        if (view == null) {
+            return null;
+        }
+        Map<String, String> seen = new TreeMap<>();
+        for (JsonNode member : view.path("members")) {
+            boolean present = !List.of("LOST", "LEFT").contains(member.path("standing").asText());
+            if (present || !seen.containsKey(member.path("name").asText())) {
+                seen.put(member.path("name").asText(), member.path("standing").asText());
+            }
+        }
+        return seen;
+    }
+
+    /** What a member says of another: its whole line. Null where it has none. */
+    public JsonNode line(int i, String name) {
+        JsonNode view = members[i].view();
+        JsonNode found = null;
+        if (view != null) {
+            for (JsonNode member : view.path("members")) {
+                if (member.path("name").asText().equals(name) && (found == null
+                        || !List.of("LOST", "LEFT").contains(member.path("standing").asText()))) {
+                    found = member;
+                }
+            }
+        }
+        return found;
+    }
+
+    /** Waits until this holds; returns the microseconds that it took, or -1 where it did not within the seconds. */
+    public static long until(BooleanSupplier holds, double seconds) {
+        long began = System.nanoTime();
+        while (System.nanoTime() - began < seconds * 1e9) {
+            if (holds.getAsBoolean()) {
+                return (System.nanoTime() - began) / 1_000;
+            }
+            try {
+                Thread.sleep(50);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return -1;
+            }
+        }
+        return -1;
+    }
+
+    /** All that members have logged, each line after its member. */
+    public String logs() {
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < size; i++) {
+            if (members[i] != null) {
+                for (String line : members[i].log()) {
+                    all.append(name(i)).append("  ").append(line).append('\n');
+                }
+            }
+        }
+        return all.toString();
+    }
+
+    @Override
+    public void close() {
+        for (MemberProcess member : members) {
+            if (member != null) {
+                member.kill();
+            }
+        }
+        for (MemberProcess member : members) {
+            if (member != null) {
+                member.close();
+            }
+        }
+        yard.close();
+        try (Stream<Path> files = Files.walk(folder)) {
+            files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+        } catch (IOException e) {
+            // a temporary folder that stays does no harm
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/sandstack/rig/MemberProcess.java
@@ -0,0 +1,148 @@
+package sandstack.rig;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * One process of the program with its console on a pipe: asked what it knows, paused, let go on, killed. Two threads
+ * read what it says. A member's folder outlasts its process and is the rig's.
+ */
+final class MemberProcess implements AutoCloseable {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    /** An answer that has not come by then does not come: the process is paused, or gone. */
+    private static final long ANSWERS_WITHIN_MS = 4_000;
+
+    private final Process process;
+    private final PrintStream to;
+    private final BlockingQueue<String> out = new LinkedBlockingQueue<>();
+    private final Queue<String> log = new ConcurrentLinkedQueue<>();
+
+    /**
+     * Starts it.
+     *
+     * @param program the words that start the program, up to its command
+     * @param words the command and its options
+     */
+    MemberProcess(List<String> program, Path folder, List<String> words) throws IOException {
+        List<String> command = new ArrayList<>(program);
+        command.addAll(words);
+        ProcessBuilder builder = new ProcessBuilder(command);
+        builder.environment().keySet().removeIf(name -> name.startsWith("PROXY_"));
+        builder.environment().put("PROXY_CONFIG", folder.resolve("config.json").toString());
+        process = builder.start();
+        to = new PrintStream(process.getOutputStream(), true, StandardCharsets.UTF_8);
+        read(process.getInputStream(), out, "out");
+        read(process.getErrorStream(), log, "log");
+    }
+
+    private void read(InputStream from, Queue<String> into, String what) {
+        Thread thread = new Thread(() -> {
+            try (BufferedReader in = new BufferedReader(new InputStreamReader(from, StandardCharsets.UTF_8))) {
+                for (String line = in.readLine(); line != null; line = in.readLine()) {
+                    into.add(line);
+                }
+            } catch (IOException e) {
+                into.add("broke off: " + e.getMessage());
+            }
+        }, "member-" + process.pid() + "-" + what);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** What it knows of the fleet; null where it does not answer. */
+    JsonNode view() {
+        out.clear();
+        to.println("fleet json");
+        try {
+            long until = System.nanoTime() + ANSWERS_WITHIN_MS * 1_000_000;
+            for (String line; (line = out.poll(until - System.nanoTime(), TimeUnit.NANOSECONDS)) != null;) {
+                if (line.startsWith("{")) {
+                    return JSON.readTree(line);
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a view that is no JSON", e);
+        }
+        return null;
+    }
+
+    /** What it has logged, oldest first. */
+    List<String> log() {
+        return List.copyOf(log);
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    boolean alive() {
+        return process.isAlive();
+    }
+
+    /** Its exit code; -1 where it has not ended by then. */
+    int ended(long seconds) throws InterruptedException {
+        return process.waitFor(seconds, TimeUnit.SECONDS) ? process.exitValue() : -1;
+    }
+
+    private void signal(String name) throws IOException {
+        try {
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Stops it where it is; it does not know. */
+    void pause() throws IOException {
+        signal("STOP");
+    }
+
+    /** Lets it go on. */
+    void resume() throws IOException {
+        signal("CONT");
+    }
+
+    /** Asks it to stop, as the platform does. */
+    void stop() {
+        process.destroy();
+    }
+
+    /** Ends it without a word. */
+    void kill() {
+        process.destroyForcibly();
+    }
+
+    @Override
+    public void close() {
+        kill();
+        try {
+            process.waitFor(10, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Puts a text into a member's folder. */
+    static void file(Path folder, String name, String text) throws IOException {
+        Files.createDirectories(folder.resolve(name).getParent());
+        Files.writeString(folder.resolve(name), text);
+    }
+}
--- a/src/main/java/sandstack/standin/Yard.java
+++ b/src/main/java/sandstack/standin/Yard.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Supplier;
+import org.glassfish.grizzly.filterchain.BaseFilter;
 import sandstack.core.Deadlines;
 import sandstack.net.Loop;
 
@@ -81,6 +82,16 @@
         return loop;
     }
 
+    /** Listens on a port of the system's choice and returns it; on the yard's thread, as all of what follows. */
+    public int listen(BaseFilter filter) throws IOException {
+        return loop.listen(LOOPBACK, 0, loop.chain(filter)).port();
+    }
+
+    /** Dials. */
+    public void connect(String host, int port, Loop.Connecting told) {
+        loop.connect(host, port, told);
+    }
+
     /** Does this so many microseconds from now, unless it is called off. */
     public Deadlines.Deadline after(long micros, Runnable task) {
         return deadlines.at(loop.now() + micros, task);
--- a/src/test/java/sandstack/console/ConsoleTest.java
+++ b/src/test/java/sandstack/console/ConsoleTest.java
@@ -7,6 +7,7 @@
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 import sandstack.core.Execution;
@@ -48,7 +49,7 @@
     private String say(String input) throws Exception {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         new Console(new Commands(relay, Runnable::run, () -> List.of("lines at 127.0.0.1:9"),
-                () -> drained.set(true))).plain(
+                () -> drained.set(true), Map.of("fleet json", () -> List.of("{}")))).plain(
                 new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), new PrintStream(out, true));
         return out.toString(StandardCharsets.UTF_8);
     }
