Put kills, stops, pauses, one-way cuts and halves between real members of a fleet

Need: membership had been seen with one cut link only. Six more schedules with four or five real processes: a stop is LEFT and a kill LOST, a restart is another life of the name (also where it is faster than the detection of its death), a member paused until it is LOST comes back and blames nobody, a link cut one way and two halves that one member joins are PARTLY with nobody LOST, halves that nothing joins lose each other and find each other again, and a second process of a living name ends with 2 and says why.

--- a/src/test/java/sandstack/rig/FleetProcessesTest.java
+++ b/src/test/java/sandstack/rig/FleetProcessesTest.java
@@ -64,4 +64,101 @@
         eventually("all alive again", 15, () -> allSee("ALIVE", 5));
         assertThat(rig.logs()).doesNotContain("is LOST");
     }
+
+    @Test
+    void whoIsKilledIsLostWhoStopsHasLeftAndARestartIsAnotherLife() throws Exception {
+        fleet(4);
+        String before = rig.line(0, "m3").path("life").asText();
+        rig.stop(2);
+        eventually("m2 has left", 10, () -> sees(0, 2, "LEFT") && sees(1, 2, "LEFT") && sees(3, 2, "LEFT"));
+        rig.kill(3);
+        eventually("m3 is lost", 20, () -> sees(0, 3, "LOST") && sees(1, 3, "LOST"));
+        rig.start(3);
+        rig.start(2);
+        eventually("all see all alive again", 30, () -> allSee("ALIVE", 4));
+        assertThat(rig.line(0, "m3").path("life").asText()).isNotEqualTo(before);
+    }
+
+    @Test
+    void aRestartThatIsFasterThanItsDetectionTakesItsNameAtOnce() throws Exception {
+        fleet(3);
+        String before = rig.line(0, "m2").path("life").asText();
+        rig.kill(2);
+        rig.start(2);
+        eventually("a new life of the same name is alive", 15, () -> {
+            var line = rig.line(0, "m2");
+            return line != null && line.path("standing").asText().equals("ALIVE")
+                    && !line.path("life").asText().equals(before);
+        });
+        assertThat(rig.member(2).alive()).isTrue();
+    }
+
+    @Test
+    void whoIsPausedComesBackAndBlamesNobody() throws Exception {
+        fleet(4);
+        int said = rig.member(1).log().size();
+        rig.pause(1);
+        eventually("m1 is doubted", 20, () -> !sees(0, 1, "ALIVE"));
+        eventually("m1 is lost", 20, () -> sees(0, 1, "LOST") && sees(2, 1, "LOST"));
+        rig.resume(1);
+        eventually("all alive again", 20, () -> allSee("ALIVE", 4));
+        // it believes that no time has passed: nothing that it missed meanwhile counts against the others
+        assertThat(rig.member(1).log().subList(said, rig.member(1).log().size()))
+                .noneMatch(line -> line.contains("not reached by m1"));
+    }
+
+    @Test
+    void aLinkCutOneWayIsPartlyAndTwoHalvesThatAThirdReachesStayOneFleet() throws IOException {
+        fleet(5);
+        rig.cutOneWay(2, 4);
+        eventually("m4 is partly reached", 15, () -> sees(0, 4, "PARTLY"));
+        rig.heal(2, 4);
+        eventually("healed", 15, () -> allSee("ALIVE", 5));
+        // m4 alone reaches both halves
+        for (int left : List.of(0, 1)) {
+            for (int right : List.of(2, 3)) {
+                rig.cut(left, right);
+            }
+        }
+        eventually("the halves call each other partly reached", 20, () -> sees(0, 2, "PARTLY") && sees(0, 3, "PARTLY")
+                && sees(2, 0, "PARTLY") && sees(3, 1, "PARTLY") && sees(4, 0, "PARTLY"));
+        assertThat(sees(0, 4, "ALIVE")).isTrue();
+        for (int left : List.of(0, 1)) {
+            for (int right : List.of(2, 3)) {
+                rig.heal(left, right);
+            }
+        }
+        eventually("one fleet, all alive", 20, () -> allSee("ALIVE", 5));
+        assertThat(rig.logs()).doesNotContain("is LOST");
+    }
+
+    @Test
+    void halvesThatNothingJoinsLoseEachOtherAndFindEachOtherAgain() throws IOException {
+        fleet(4);
+        for (int left : List.of(0, 1)) {
+            for (int right : List.of(2, 3)) {
+                rig.cut(left, right);
+            }
+        }
+        eventually("each half lost the other", 30, () -> sees(0, 2, "LOST") && sees(1, 3, "LOST")
+                && sees(2, 0, "LOST") && sees(3, 1, "LOST"));
+        assertThat(sees(0, 1, "ALIVE") && sees(3, 2, "ALIVE")).isTrue();
+        for (int left : List.of(0, 1)) {
+            for (int right : List.of(2, 3)) {
+                rig.heal(left, right);
+            }
+        }
+        eventually("one fleet again", 20, () -> allSee("ALIVE", 4));
+    }
+
+    @Test
+    void aSecondProcessOfALivingNameIsToldNo() throws Exception {
+        fleet(2);
+        rig.kill(1);
+        rig.start(1, "m0");
+        assertThat(rig.member(1).ended(20)).as(rig.logs()).isEqualTo(2);
+        eventually("it says why, in one line", 5, () -> rig.member(1).log().stream()
+                .anyMatch(line -> line.contains("the name m0 is held by a member that lives")));
+        assertThat(rig.member(0).alive()).isTrue();
+    }
 }
