Test what members tell and ask each other, and hang up on peers that are none

Need: bounds and refusals of the members' wire were written and not seen. A peer that sends one message that is none of ours is hung up on; it was only passed over before.

--- a/src/main/java/sandstack/fleet/Reach.java
+++ b/src/main/java/sandstack/fleet/Reach.java
@@ -50,14 +50,16 @@
     /** Who is to be asked now: of the present round, as many as are due by now. */
     public List<String> due(long now) {
         long length = Math.max(ROUND, EACH * counts.size());
+        List<String> due = new ArrayList<>();
         if (now - roundBegan >= length) {
+            // turns that come late leave some over: they are asked before the next round begins
+            due.addAll(round);
             roundBegan = now;
             round.clear();
             round.addAll(counts.keySet());
             Collections.shuffle(round, new java.util.Random(chance.nextLong()));
         }
         int left = (int) (counts.size() * (length - (now - roundBegan)) / length);
-        List<String> due = new ArrayList<>();
         while (round.size() > left) {
             due.add(round.remove(round.size() - 1));
         }
--- a/src/main/java/sandstack/fleet/link/FleetLink.java
+++ b/src/main/java/sandstack/fleet/link/FleetLink.java
@@ -134,7 +134,7 @@
                 .metadataCodec(Card.CODEC)
                 .transport(t -> t.port(file.listen().port()).connectTimeout(PING_WITHIN).messageCodec(codec)
                         .maxFrameLength(LONGEST_FRAME).addressMapper(at -> file.via().getOrDefault(at, at))
-                        .transportFactory(new OneAddress(file.listen().host(), MOST_PEERS)))
+                        .transportFactory(new OneAddress(file.listen().host(), codec, MOST_PEERS)))
                 .failureDetector(f -> f.pingInterval(PING_EVERY).pingTimeout(PING_WITHIN).pingReqMembers(ASK_OTHERS))
                 .membership(m -> m.namespace(file.installation()).seedMembers(file.members())
                         .syncInterval(SYNC_EVERY).syncTimeout(PING_EVERY).suspicionMult(SUSPICION));
--- a/src/main/java/sandstack/fleet/link/KnownTypes.java
+++ b/src/main/java/sandstack/fleet/link/KnownTypes.java
@@ -22,12 +22,20 @@
     private static final int LONGEST_ARRAY = 20_000;
 
     private final AtomicLong refused = new AtomicLong();
+    private final ThreadLocal<Boolean> lastRefused = ThreadLocal.withInitial(() -> false);
 
     /** Messages refused so far. */
     long refused() {
         return refused.get();
     }
 
+    /** Whether the last message that this thread read was refused; asked once, and forgotten. */
+    boolean takeRefused() {
+        boolean was = lastRefused.get();
+        lastRefused.set(false);
+        return was;
+    }
+
     private static ObjectInputFilter.Status check(ObjectInputFilter.FilterInfo info) {
         if (info.depth() > DEEPEST || info.references() > MOST_OBJECTS || info.arrayLength() > LONGEST_ARRAY) {
             return ObjectInputFilter.Status.REJECTED;
@@ -65,6 +73,7 @@
             return message;
         } catch (IOException | ClassNotFoundException | RuntimeException e) {
             refused.incrementAndGet();
+            lastRefused.set(true);
             throw e instanceof InvalidClassException ? new IOException("a message of unknown types") : e;
         }
     }
--- a/src/main/java/sandstack/fleet/link/OneAddress.java
+++ b/src/main/java/sandstack/fleet/link/OneAddress.java
@@ -34,11 +34,13 @@
     private static final long SILENT_SECONDS = 30;
 
     private final String host;
+    private final KnownTypes codec;
     private final int mostPeers;
     private final AtomicInteger peers = new AtomicInteger();
 
-    OneAddress(String host, int mostPeers) {
+    OneAddress(String host, KnownTypes codec, int mostPeers) {
         this.host = host;
+        this.codec = codec;
         this.mostPeers = mostPeers;
     }
 
@@ -75,7 +77,13 @@
                         frames(channel, config.maxFrameLength());
                         channel.pipeline().addFirst("silent", new ReadTimeoutHandler(SILENT_SECONDS, TimeUnit.SECONDS));
                     })
-                    .handle((in, out) -> in.receive().retain().doOnNext(context::onMessage).then())
+                    .handle((in, out) -> in.receive().retain().doOnNext(frame -> {
+                        context.onMessage(frame);
+                        if (codec.takeRefused()) {
+                            // whoever sends one message that is none of ours is no member
+                            in.withConnection(Connection::dispose);
+                        }
+                    }).then())
                     .bind().cast(DisposableServer.class);
         }
 
--- /dev/null
+++ b/src/test/java/sandstack/config/FleetFileTest.java
@@ -0,0 +1,56 @@
+package sandstack.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** deploy/fleet.toml: read whole, each mistake one line. */
+class FleetFileTest {
+    private static final String GOOD = "enabled = true\ninstallation = \"hq\"\nlisten = \"10.0.0.7:4600\"\n"
+            + "members = [\"10.0.0.7:4600\", \"10.0.0.8:4600\"]\n";
+
+    private static FleetFile read(String toml) throws Exception {
+        return FleetFile.read(new TomlMapper().readTree(toml));
+    }
+
+    @Test
+    void isOffAsShippedAndWholeWhereItIsOn() throws Exception {
+        assertThat(FleetFile.read(new OwnFiles(Path.of("deploy")))).isNull();
+        assertThat(FleetFile.read(new OwnFiles(Path.of("examples")))).isNull();
+        FleetFile file = read(GOOD + "[via]\n\"10.0.0.8:4600\" = \"127.0.0.1:99\"\n");
+        assertThat(file.machine()).isEqualTo("10.0.0.7");
+        assertThat(file.via()).containsEntry("10.0.0.8:4600", "127.0.0.1:99");
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "installation = \"hq\" | installation = \"h q\" | fleet.toml: installation must be 2 to 100 letters",
+        "installation = \"hq\" | installation = \"h\"   | fleet.toml: installation must be 2 to 100 letters",
+        "installation = \"hq\" | colour = 1             | fleet.toml: colour is not known here",
+        "installation = \"hq\" | #                      | fleet.toml: installation is missing",
+        "10.0.0.7:4600\"\\n    | 10.0.0.7\"\\n          | fleet.toml: listen is not HOST:PORT: 10.0.0.7",
+        "members = [           | members = [3,          | fleet.toml: members is no address HOST:PORT: 3",
+        "members = [           | members = [\"x:y\",    | fleet.toml: members is not HOST:PORT: x:y",
+        "members =             | machine = \"a b\"\\nmembers = | fleet.toml: machine must be 2 to 100 letters",
+        "members =             | via = 3\\nmembers =    | fleet.toml: via is not a table: 3",
+    })
+    void aMistakeIsOneLineThatNamesFileKeyAndValue(String good, String bad, String line) {
+        String toml = GOOD.replace(good.replace("\\n", "\n").strip(), bad.replace("\\n", "\n").strip());
+        assertThat(toml).isNotEqualTo(GOOD);
+        assertThatThrownBy(() -> read(toml)).isInstanceOf(BadSettings.class).hasMessageStartingWith(line)
+                .hasMessageNotContaining("\n");
+    }
+
+    @Test
+    void membersAreAListOfSome() {
+        assertThatThrownBy(() -> read(GOOD.replaceFirst("members = .*", "members = []")))
+                .hasMessage("fleet.toml: members must be a list of 1 to 1000 addresses: 0 of them");
+        assertThatThrownBy(() -> read(GOOD.replaceFirst("members = .*", "members = 4")))
+                .hasMessage("fleet.toml: members must be a list of 1 to 1000 addresses: 4");
+    }
+}
--- /dev/null
+++ b/src/test/java/sandstack/fleet/link/FleetLinkTest.java
@@ -0,0 +1,218 @@
+package sandstack.fleet.link;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.scalecube.cluster.transport.api.Message;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.ObjectOutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import sandstack.config.BadSettings;
+import sandstack.config.FleetFile;
+import sandstack.config.PlatformConfig.Address;
+import sandstack.fleet.Board;
+import sandstack.fleet.Roster;
+import sandstack.fleet.Standing;
+import sandstack.fleet.Words;
+
+/** Members over real sockets in one process: what they tell and ask each other, and peers that are none. */
+@Timeout(60)
+class FleetLinkTest {
+    private final List<FleetLink> links = new ArrayList<>();
+    private final List<Address> addresses = new ArrayList<>();
+
+    @AfterEach
+    void close() {
+        links.forEach(FleetLink::close);
+    }
+
+    private FleetLink join(String installation, String name) throws Exception {
+        String host = "127.78.0." + (addresses.size() + 1);
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+            addresses.add(new Address(host, probe.getLocalPort()));
+        }
+        FleetLink link = new FleetLink(new FleetFile(installation, addresses.get(addresses.size() - 1), "machine",
+                List.of(addresses.get(0).toString()), Map.of()), name, "zone");
+        links.add(link);
+        link.start();
+        return link;
+    }
+
+    private static void eventually(String what, BooleanSupplier holds) {
+        long until = System.nanoTime() + 20_000_000_000L;
+        while (!holds.getAsBoolean()) {
+            assertThat(System.nanoTime()).as(what).isLessThan(until);
+            Thread.onSpinWait();
+        }
+    }
+
+    private static Standing standing(FleetLink by, FleetLink of) {
+        return by.view().lines().stream().filter(l -> l.life().id().equals(of.view().self().id()))
+                .map(Roster.Line::standing).findFirst().orElse(null);
+    }
+
+    private FleetLink[] two() throws Exception {
+        FleetLink a = join("inst", "a");
+        FleetLink b = join("inst", "b");
+        eventually("they see each other", () -> standing(a, b) == Standing.ALIVE && standing(b, a) == Standing.ALIVE);
+        return new FleetLink[] {a, b};
+    }
+
+    private static String told(FleetLink by, FleetLink of, String key) {
+        Board.Held held = by.view().told().get(of.view().self().id());
+        return held == null ? null : held.state().values().get(key);
+    }
+
+    @Test
+    void aValueThatOneTellsIsHeldByTheOtherAndTheLastOneWins() throws Exception {
+        FleetLink[] two = two();
+        for (int i = 0; i <= 50; i++) {
+            two[0].tell("load", Integer.toString(i));
+        }
+        eventually("the last one is held", () -> "50".equals(told(two[1], two[0], "load")));
+        two[0].tell("load", null);
+        eventually("it is taken away", () -> told(two[1], two[0], "load") == null);
+    }
+
+    @Test
+    void aCallIsAnsweredOnceAndOneWithoutAnAnswerEndsAtItsDeadline() throws Exception {
+        FleetLink[] two = two();
+        String to = two[1].view().self().id();
+        two[1].on("twice", (from, body) -> CompletableFuture.completedFuture(body + body));
+        two[1].on("never", (from, body) -> new CompletableFuture<>());
+        two[1].on("no", (from, body) -> CompletableFuture.failedFuture(new IllegalStateException("not now")));
+        assertThat(two[0].call(to, "twice", "ab", Duration.ofSeconds(5)).get(10, TimeUnit.SECONDS)).isEqualTo("abab");
+        assertThatThrownBy(() -> two[0].call(to, "no", "", Duration.ofSeconds(5)).join())
+                .isInstanceOf(CompletionException.class).hasMessageContaining("not now");
+        assertThatThrownBy(() -> two[0].call(to, "unknown", "", Duration.ofSeconds(5)).join())
+                .hasMessageContaining("nothing here takes calls of this kind");
+        assertThatThrownBy(() -> two[0].call("nobody", "twice", "", Duration.ofSeconds(5)).join())
+                .hasMessageContaining("is no member now");
+        long began = System.nanoTime();
+        List<CompletableFuture<String>> waiting = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            waiting.add(two[0].call(to, "never", "", Duration.ofMillis(500)));
+        }
+        // a member that does not answer holds up eight calls and no more, and those until their deadline
+        assertThatThrownBy(() -> two[0].call(to, "twice", "ab", Duration.ofSeconds(5)).join())
+                .hasMessageContaining("too many calls are out");
+        waiting.forEach(call -> assertThatThrownBy(call::join).isInstanceOf(CompletionException.class));
+        assertThat(System.nanoTime() - began).isBetween(400_000_000L, 5_000_000_000L);
+        assertThat(two[0].call(to, "twice", "cd", Duration.ofSeconds(5)).get(10, TimeUnit.SECONDS)).isEqualTo("cdcd");
+    }
+
+    @Test
+    void aMemberOfAnotherInstallationIsNone() throws Exception {
+        FleetLink[] two = two();
+        FleetLink other = join("other", "c");
+        two[0].tell("mark", "1");
+        eventually("the fleet goes on", () -> "1".equals(told(two[1], two[0], "mark")));
+        assertThat(other.view().lines()).hasSize(1);
+        assertThat(two[0].view().lines()).hasSize(2);
+    }
+
+    @Test
+    void peersThatAreNoneAreHungUpOnAndChangeNothing() throws Exception {
+        FleetLink[] two = two();
+        Address at = addresses.get(0);
+        byte[] huge = ByteBuffer.allocate(1 << 20).putInt(60 << 20).array();
+        byte[] rubbish = ByteBuffer.allocate(1_004).putInt(1_000).array();
+        List<Socket> slow = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            assertThat(hangsUpOn(at, huge)).as("60 MB").isTrue();
+            assertThat(hangsUpOn(at, rubbish)).as("rubbish").isTrue();
+            assertThat(hangsUpOn(at, framed(unknownType()))).as("unknown types").isTrue();
+            // one that says a little and waits
+            Socket one = new Socket(at.host(), at.port());
+            one.getOutputStream().write(0);
+            slow.add(one);
+        }
+        two[0].tell("mark", "2");
+        eventually("the fleet goes on", () -> "2".equals(told(two[1], two[0], "mark")));
+        assertThat(standing(two[1], two[0])).isEqualTo(Standing.ALIVE);
+        assertThat(two[0].view().lines()).hasSize(2);
+        for (Socket one : slow) {
+            one.close();
+        }
+    }
+
+    /** Whether the other end hangs up on whoever sends this. */
+    private static boolean hangsUpOn(Address at, byte[] bytes) throws IOException {
+        try (Socket socket = new Socket(at.host(), at.port())) {
+            socket.setSoTimeout(2_000);
+            socket.getOutputStream().write(bytes);
+            return socket.getInputStream().read() < 0;
+        } catch (java.net.SocketTimeoutException e) {
+            return false;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
+    private static byte[] framed(byte[] body) {
+        return ByteBuffer.allocate(4 + body.length).putInt(body.length).put(body).array();
+    }
+
+    private static byte[] unknownType() throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        try (ObjectOutputStream out = new ObjectOutputStream(bytes)) {
+            out.writeInt(1);
+            out.writeUTF("q");
+            out.writeUTF("sandstack/question");
+            out.writeObject(new PriorityQueue<>(List.of("a", "b")));
+        }
+        return bytes.toByteArray();
+    }
+
+    @Test
+    void onlyKnownTypesAreRead() throws Exception {
+        KnownTypes codec = new KnownTypes();
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        codec.serialize(Message.builder().qualifier("q").data("text").build(), bytes);
+        assertThat(codec.deserialize(new ByteArrayInputStream(bytes.toByteArray())).<String>data()).isEqualTo("text");
+        bytes.reset();
+        codec.serialize(Message.builder().qualifier("q").data(new PriorityQueue<>(List.of("a"))).build(), bytes);
+        assertThatThrownBy(() -> codec.deserialize(new ByteArrayInputStream(bytes.toByteArray())))
+                .hasMessage("a message of unknown types");
+        assertThat(codec.refused()).isEqualTo(1);
+    }
+
+    @Test
+    void wordsOfALaterVersionAreToldApartFromRubbish() {
+        assertThatThrownBy(() -> Bodies.read("{\"v\":2,\"new\":[]}", Words.Question.class))
+                .hasMessage("version 2 of the words, known are up to 1");
+        assertThatThrownBy(() -> Bodies.read("{\"name\":1}", Words.Question.class))
+                .hasMessage("a body without a version");
+        assertThatThrownBy(() -> Bodies.read("{\"v\":1,\"has\":\"x\"}", Words.Question.class))
+                .hasMessage("a body that is no Question");
+        assertThatThrownBy(() -> Bodies.read("[[[[[[[[[[[[", Words.Question.class)).hasMessageContaining("no Question");
+        assertThatThrownBy(() -> Bodies.read(17, Words.Question.class)).hasMessage("a body that is no text");
+    }
+
+    @Test
+    void anAddressThatIsTakenIsOneLine() throws Exception {
+        FleetLink a = join("inst", "a");
+        assertThat(a.view().lines()).hasSize(1);
+        FleetLink second = new FleetLink(new FleetFile("inst", addresses.get(0), "m",
+                List.of(addresses.get(0).toString()), Map.of()), "b", "z");
+        assertThatThrownBy(second::start).isInstanceOf(BadSettings.class)
+                .hasMessageContaining("fleet.toml: listen: cannot listen at " + addresses.get(0));
+    }
+}
