--- a/src/main/java/sandstack/CommandLineOfAll.java
+++ b/src/main/java/sandstack/CommandLineOfAll.java
@@ -21,11 +21,12 @@
 import sandstack.measure.MeasureCommand;
 import sandstack.measure.OpenCommand;
 import sandstack.measure.StandInCommand;
+import sandstack.rig.FaultsCommand;
 
 /** The commands of the program, their help and their exit codes: 2 for wrong usage or settings, told in one line. */
 @Command(name = "sandstack", description = "A relay for long-lived connections.", mixinStandardHelpOptions = true,
         versionProvider = CommandLineOfAll.Version.class, synopsisSubcommandLabel = "COMMAND",
-        subcommands = {MeasureCommand.class, OpenCommand.class, StandInCommand.class})
+        subcommands = {FaultsCommand.class, MeasureCommand.class, OpenCommand.class, StandInCommand.class})
 final class CommandLineOfAll implements Callable<Integer> {
     private static final int WRONG = 2;
     private static final String FLEET = "Be a member of the fleet that deploy/fleet.toml describes and enables.";
--- /dev/null
+++ b/src/main/java/sandstack/rig/Rules.java
@@ -0,0 +1,232 @@
+package sandstack.rig;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import sandstack.fleet.Standing;
+import sandstack.rig.Facts.Done;
+import sandstack.rig.Facts.Fact;
+import sandstack.rig.Facts.LetGo;
+import sandstack.rig.Facts.Line;
+import sandstack.rig.Facts.Seen;
+
+/**
+ * What must hold of a fleet, checked on the facts of a run after it. The rules know what was done to links and processes
+ * and so who could have reached whom; they do not know how members decide. Pure; O(facts times members squared).
+ */
+final class Rules {
+    /** Views are equal so long after all faults ended; starting a process takes a part of it. */
+    static final long EQUAL_AFTER = 5_000_000;
+    static final long STARTS_WITHIN = 8_000_000;
+    /** Nobody is given up who was out of reach for less. */
+    static final long LOST_NOT_BEFORE = 2_000_000;
+    /** A dead process is not called a member after so long. */
+    static final long DEAD_BY = 20_000_000;
+    /** A fault that has just ended still explains what is seen, as others have to hear of it. */
+    private static final long ECHO = 5_000_000;
+
+    /** One broken rule. */
+    record Broken(String rule, String how) {}
+
+    private final int members;
+    private final boolean[] runs;
+    private final boolean[] paused;
+    private final boolean[][] passes;
+    private final long[][] apartSince;
+    private final long[][] apartUntil;
+    private final long[][] apartFor;
+    private final long[] downSince;
+    private final Map<String, Integer> owner = new HashMap<>();
+    private final Map<Integer, String> lifeOf = new HashMap<>();
+    private final Map<String, Standing> ended = new HashMap<>();
+    private final Map<String, Long> deadSince = new HashMap<>();
+    private final List<Broken> broken = new ArrayList<>();
+
+    private Rules(int members) {
+        this.members = members;
+        runs = new boolean[members];
+        paused = new boolean[members];
+        passes = new boolean[members][members];
+        apartSince = new long[members][members];
+        apartUntil = new long[members][members];
+        apartFor = new long[members][members];
+        downSince = new long[members];
+        for (int i = 0; i < members; i++) {
+            runs[i] = true;
+            downSince[i] = -1;
+            for (int j = 0; j < members; j++) {
+                passes[i][j] = true;
+                apartSince[i][j] = -1;
+                apartUntil[i][j] = Long.MIN_VALUE / 2;
+            }
+        }
+    }
+
+    /** All that is broken in this run; empty where nothing is. */
+    static List<Broken> check(int members, Facts facts) {
+        Rules rules = new Rules(members);
+        for (Fact fact : facts.all()) {
+            if (fact instanceof Done done) {
+                rules.done(done);
+            } else if (fact instanceof LetGo go) {
+                rules.letGo(go);
+            } else if (fact instanceof Seen seen) {
+                rules.seen(seen);
+            }
+        }
+        rules.equalAtTheEnd(facts);
+        return rules.broken;
+    }
+
+    private void done(Done done) {
+        int a = done.step().a();
+        int b = done.step().b();
+        switch (done.step().kind()) {
+            case CUT -> {
+                passes[a][b] = false;
+                passes[b][a] = false;
+            }
+            case CUT_ONE_WAY -> passes[a][b] = false;
+            case HEAL -> {
+                passes[a][b] = true;
+                passes[b][a] = true;
+            }
+            case KILL, STOP -> {
+                runs[a] = false;
+                String life = lifeOf.remove(a);
+                if (life != null) {
+                    deadSince.put(life, done.at());
+                }
+            }
+            case START -> runs[a] = true;
+            case PAUSE -> paused[a] = true;
+            case RESUME -> paused[a] = false;
+            default -> {
+                // a reset or a slow link separates nobody
+            }
+        }
+        measureApart(done.at());
+    }
+
+    private void letGo(LetGo go) {
+        for (int i = 0; i < members; i++) {
+            runs[i] = true;
+            paused[i] = false;
+            java.util.Arrays.fill(passes[i], true);
+        }
+        measureApart(go.at());
+    }
+
+    /** Who cannot reach whom by any chain of members, both ways, and since when. */
+    private void measureApart(long now) {
+        for (int i = 0; i < members; i++) {
+            boolean[] reached = new boolean[members];
+            reached[i] = up(i);
+            for (boolean grew = up(i); grew;) {
+                grew = false;
+                for (int x = 0; x < members; x++) {
+                    for (int y = 0; reached[x] && y < members; y++) {
+                        if (!reached[y] && up(y) && passes[x][y] && passes[y][x]) {
+                            reached[y] = true;
+                            grew = true;
+                        }
+                    }
+                }
+            }
+            for (int j = 0; j < members; j++) {
+                if (reached[j] && apartSince[i][j] >= 0) {
+                    apartFor[i][j] = now - apartSince[i][j];
+                    apartUntil[i][j] = now;
+                    apartSince[i][j] = -1;
+                } else if (!reached[j] && apartSince[i][j] < 0) {
+                    apartSince[i][j] = now;
+                }
+            }
+        }
+    }
+
+    private boolean up(int i) {
+        return runs[i] && !paused[i];
+    }
+
+    private void seen(Seen seen) {
+        owner.put(seen.life(), seen.member());
+        if (runs[seen.member()]) {
+            lifeOf.put(seen.member(), seen.life());
+        }
+        seen.seen().forEach((life, line) -> {
+            Integer of = owner.get(life);
+            ended(seen, life, line);
+            if (of == null || of == seen.member()) {
+                return;
+            }
+            if (line.standing() == Standing.LOST && !deadSince.containsKey(life)) {
+                lost(seen, of, line);
+            }
+            Long dead = deadSince.get(life);
+            if (dead != null && line.standing().present() && seen.asked() - dead > DEAD_BY) {
+                broken.add(new Broken("a dead process is no member", seen.member() + " calls " + line.name() + " "
+                        + line.standing() + " " + (seen.asked() - dead) / 1_000 + " ms after it died"));
+            }
+            if (line.standing() == Standing.LEFT && dead == null) {
+                broken.add(new Broken("who runs has not left", seen.member() + " calls " + line.name() + " LEFT"));
+            }
+        });
+    }
+
+    /** Who was never out of reach, or only for a moment, is not given up. */
+    private void lost(Seen seen, int of, Line line) {
+        int by = seen.member();
+        long apart = apartSince[by][of] >= 0 ? seen.at() - apartSince[by][of]
+                : seen.asked() - apartUntil[by][of] < ECHO + LOST_NOT_BEFORE ? apartFor[by][of] : 0;
+        if (apart < LOST_NOT_BEFORE) {
+            broken.add(new Broken("nobody within reach is lost", by + " calls " + line.name()
+                    + " LOST, which was out of reach for " + apart / 1_000 + " ms at " + seen.at() / 1_000 + " ms"));
+        }
+    }
+
+    /** A life that left never comes back, for anyone who has seen it leave. */
+    private void ended(Seen seen, String life, Line line) {
+        String key = seen.life() + "<" + life;
+        if (ended.get(key) == Standing.LEFT && line.standing() != Standing.LEFT) {
+            broken.add(new Broken("who left stays left", seen.member() + " calls " + line.name() + " "
+                    + line.standing() + " after LEFT"));
+        }
+        ended.put(key, line.standing());
+    }
+
+    /** The last view of each: every name has one present life, which is alive, and all name the same. */
+    private void equalAtTheEnd(Facts facts) {
+        Map<Integer, Seen> last = new HashMap<>();
+        long go = -1;
+        for (Fact fact : facts.all()) {
+            if (fact instanceof LetGo l) {
+                go = l.at();
+            } else if (fact instanceof Seen seen && go >= 0) {
+                last.put(seen.member(), seen);
+            }
+        }
+        for (int i = 0; i < members; i++) {
+            Seen seen = last.get(i);
+            if (seen == null) {
+                broken.add(new Broken("whoever runs answers", i + " told nothing after all faults had ended"));
+                continue;
+            }
+            Map<String, Standing> present = new HashMap<>();
+            seen.seen().forEach((life, line) -> {
+                if (line.standing().present() && present.put(line.name(), line.standing()) != null) {
+                    broken.add(new Broken("a name has one present life", i(seen) + " sees two of " + line.name()));
+                }
+            });
+            if (present.size() != members || present.values().stream().anyMatch(s -> s != Standing.ALIVE)) {
+                broken.add(new Broken("views are equal after all faults have ended", i + " sees " + present
+                        + " " + (seen.at() - go) / 1_000 + " ms after"));
+            }
+        }
+    }
+
+    private static int i(Seen seen) {
+        return seen.member();
+    }
+}
--- /dev/null
+++ b/src/test/java/sandstack/rig/RulesTest.java
@@ -0,0 +1,143 @@
+package sandstack.rig;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import sandstack.fleet.Standing;
+import sandstack.rig.Facts.Done;
+import sandstack.rig.Facts.LetGo;
+import sandstack.rig.Facts.Line;
+import sandstack.rig.Facts.Seen;
+import sandstack.rig.Schedule.Kind;
+import sandstack.rig.Schedule.Step;
+
+/** Each rule finds its break, and nothing where nothing is broken. */
+class RulesTest {
+    private static final long SECOND = 1_000_000;
+    private final Facts facts = new Facts();
+
+    /** What member i says at this second: of m0, m1, m2. */
+    private void seen(double second, int i, Standing... standings) {
+        Map<String, Line> seen = new TreeMap<>();
+        for (int j = 0; j < standings.length; j++) {
+            seen.put("life" + j, new Line("m" + j, standings[j]));
+        }
+        facts.add(new Seen((long) (second * SECOND), (long) (second * SECOND), i, "life" + i, seen));
+    }
+
+    private void allAlive(double second) {
+        for (int i = 0; i < 3; i++) {
+            seen(second, i, Standing.ALIVE, Standing.ALIVE, Standing.ALIVE);
+        }
+    }
+
+    private void done(double second, Kind kind, int a, int b) {
+        facts.add(new Done((long) (second * SECOND), new Step(second, kind, a, b)));
+    }
+
+    private void letGo(double second) {
+        facts.add(new LetGo((long) (second * SECOND)));
+    }
+
+    private List<String> broken() {
+        return Rules.check(3, facts).stream().map(Rules.Broken::rule).distinct().toList();
+    }
+
+    @Test
+    void aCleanRunBreaksNothing() {
+        allAlive(0);
+        done(1, Kind.CUT, 0, 1);
+        seen(4, 2, Standing.PARTLY, Standing.PARTLY, Standing.ALIVE);
+        done(5, Kind.CUT, 2, 1);
+        seen(12, 0, Standing.ALIVE, Standing.LOST, Standing.ALIVE);
+        letGo(13);
+        allAlive(16);
+        assertThat(broken()).isEmpty();
+    }
+
+    @Test
+    void whoeverAnyoneReachesIsNotLost() {
+        allAlive(0);
+        done(1, Kind.CUT, 0, 1);
+        // m2 reaches both all the time
+        seen(10, 0, Standing.ALIVE, Standing.LOST, Standing.ALIVE);
+        letGo(11);
+        allAlive(13);
+        assertThat(broken()).containsExactly("nobody within reach is lost");
+    }
+
+    @Test
+    void whoWasOutOfReachForAMomentIsNotLostEither() {
+        allAlive(0);
+        done(1, Kind.PAUSE, 1, -1);
+        done(1.5, Kind.RESUME, 1, -1);
+        seen(4, 0, Standing.ALIVE, Standing.LOST, Standing.ALIVE);
+        letGo(5);
+        allAlive(6);
+        assertThat(broken()).containsExactly("nobody within reach is lost");
+    }
+
+    @Test
+    void aDeadProcessIsNoMemberForLong() {
+        allAlive(0);
+        done(1, Kind.KILL, 1, -1);
+        seen(10, 0, Standing.ALIVE, Standing.SUSPECT, Standing.ALIVE);
+        seen(30, 2, Standing.ALIVE, Standing.ALIVE, Standing.ALIVE);
+        letGo(31);
+        allAlive(33);
+        assertThat(broken()).contains("a dead process is no member");
+    }
+
+    @Test
+    void whoRunsHasNotLeftAndWhoLeftStaysLeft() {
+        allAlive(0);
+        seen(1, 0, Standing.ALIVE, Standing.LEFT, Standing.ALIVE);
+        letGo(2);
+        allAlive(3);
+        assertThat(broken()).containsExactlyInAnyOrder("who runs has not left", "who left stays left");
+    }
+
+    @Test
+    void viewsAreEqualAtTheEndAndEveryoneAnswers() {
+        allAlive(0);
+        letGo(1);
+        seen(5, 0, Standing.ALIVE, Standing.ALIVE, Standing.ALIVE);
+        seen(5, 1, Standing.ALIVE, Standing.ALIVE, Standing.PARTLY);
+        assertThat(broken()).containsExactlyInAnyOrder("views are equal after all faults have ended",
+                "whoever runs answers");
+    }
+
+    @Test
+    void aNameHasOnePresentLife() {
+        allAlive(0);
+        letGo(1);
+        allAlive(2);
+        facts.add(new Seen(3 * SECOND, 3 * SECOND, 0, "life0", Map.of("life0", new Line("m0", Standing.ALIVE),
+                "life1", new Line("m1", Standing.ALIVE), "other", new Line("m1", Standing.ALIVE),
+                "life2", new Line("m2", Standing.ALIVE))));
+        assertThat(broken()).containsExactly("a name has one present life");
+    }
+
+    /** With real members: a cut that the rules are not told of looks like members that give others up. */
+    @Test
+    @Timeout(100)
+    void withRealMembersAPlantedFaultIsFound() throws Exception {
+        List<String> program = List.of("-cp", System.getProperty("java.class.path"), "sandstack.Main");
+        Schedule schedule = new Schedule(3, List.of(new Step(0.5, Kind.CUT, 0, 1), new Step(0.5, Kind.CUT, 0, 2),
+                new Step(13, Kind.HEAL, 0, 1), new Step(13, Kind.HEAL, 0, 2)));
+        AtomicInteger hidden = new AtomicInteger();
+        FaultRun.Outcome blind = FaultRun.play(program, schedule, step -> {
+            hidden.incrementAndGet();
+            return false;
+        });
+        assertThat(hidden).hasValue(4);
+        assertThat(blind.broken()).as(blind.logs()).isNotEmpty().allMatch(b ->
+                b.rule().equals("nobody within reach is lost"));
+        assertThat(blind.equalAfter()).as(blind.logs()).isNotNegative();
+    }
+}
