Measure how fast a fleet notices a kill, a cut and a pause, and what a member costs

measure fleet starts twelve real members: seconds until each of the others notices (p50, p99), until all see the same again, views that doubt a member that lives while a core is taken now and then, and bytes, processor, memory and threads a member at several sizes.

--- a/src/main/java/sandstack/measure/MeasureCommand.java
+++ b/src/main/java/sandstack/measure/MeasureCommand.java
@@ -21,11 +21,11 @@
         mixinStandardHelpOptions = true)
 public final class MeasureCommand implements Callable<Integer> {
     private static final Map<String, Measurement> ALL = new TreeMap<>(Map.of("capacity", new MeasureCapacity(),
-            "estimators", new MeasureEstimators()));
+            "estimators", new MeasureEstimators(), "fleet", new MeasureFleet()));
 
     @Spec
     private CommandSpec spec;
-    @Parameters(index = "0", paramLabel = "NAME", description = "What to measure: capacity, estimators.")
+    @Parameters(index = "0", paramLabel = "NAME", description = "What to measure: capacity, estimators, fleet.")
     private String name;
     @Option(names = "--quick", description = "A short run of 40 s at most.")
     private boolean quick;
--- a/src/main/java/sandstack/rig/FleetRig.java
+++ b/src/main/java/sandstack/rig/FleetRig.java
@@ -138,7 +138,7 @@
         }
     }
 
-    /** The process of a member; null where it was never started. */
+    /** Null where it was never started. */
     MemberProcess member(int i) {
         return members[i];
     }
@@ -259,6 +259,24 @@
         return -1;
     }
 
+    /** Bytes that members have sent each other so far. */
+    public long bytes() {
+        return yard.on(() -> {
+            long sum = 0;
+            for (PairLink[] from : links) {
+                for (PairLink link : from) {
+                    sum += link == null ? 0 : link.passed();
+                }
+            }
+            return sum;
+        });
+    }
+
+    /** The process of a member. */
+    public long pid(int i) {
+        return members[i].pid();
+    }
+
     /** All that members have logged, each line after its member. */
     public String logs() {
         StringBuilder all = new StringBuilder();
--- a/src/main/java/sandstack/rig/PairLink.java
+++ b/src/main/java/sandstack/rig/PairLink.java
@@ -34,6 +34,7 @@
     private long jitter;
     /** Bytes a second; 0 without limit. */
     private long rate;
+    private long passed;
 
     /** Leads to this address; is called on the yard's thread. */
     PairLink(Yard yard, String host, int to, long seed) throws IOException {
@@ -69,6 +70,11 @@
         rate = bytesASecond;
     }
 
+    /** Bytes that have passed so far, both ways. */
+    long passed() {
+        return passed;
+    }
+
     /** Breaks all connections that there are. */
     void reset() {
         List.copyOf(halves).forEach(half -> half.peer.reset());
@@ -155,6 +161,7 @@
                 byte[] piece = held.remove();
                 later(piece.length, () -> {
                     bytes -= piece.length;
+                    passed += piece.length;
                     if (!other.peer.closed()) {
                         other.peer.send(piece);
                     }
