Move what classes and tenants hold out of the module into the capacity package

What each class and tenant holds is arithmetic over numbers and needs none of the module's state: ClassLoads and TenantShares, behaviour as before (StreamTest's digests are equal).

--- a/src/main/java/sandstack/decisions/Shedding.java
+++ b/src/main/java/sandstack/decisions/Shedding.java
@@ -1,10 +1,10 @@
 package sandstack.decisions;
 
-import java.util.Arrays;
 import java.util.Collection;
 import java.util.List;
-import sandstack.capacity.Shares;
+import sandstack.capacity.ClassLoads;
 import sandstack.capacity.Tally;
+import sandstack.capacity.TenantShares;
 import sandstack.chance.Chance;
 import sandstack.decisions.Decisions.Tenant;
 
@@ -19,11 +19,8 @@
     private final Frame f;
     private final Fleet fleet;
     private final Room room;
-    private double[] classLoad = new double[0];
-    private double[] classHeld = classLoad;
-    private double[] classShed = classLoad;
-    private List<Tenant> tenants;
-    private double[] tenantExcess = new double[0];
+    private final ClassLoads loads = new ClassLoads();
+    private final TenantShares shares = new TenantShares();
     private double shed;
     private double lateHome;
     private double lateAway;
@@ -37,14 +34,11 @@
     }
 
     void classesAre(int count) {
-        classLoad = Arrays.copyOf(classLoad, count);
-        classHeld = Arrays.copyOf(classHeld, count);
-        classShed = Arrays.copyOf(classShed, count);
+        loads.classesAre(count);
     }
 
     void tenantsAre(List<Tenant> now) {
-        tenants = List.copyOf(now);
-        tenantExcess = Arrays.copyOf(tenantExcess, now.size());
+        shares.tenantsAre(now.stream().mapToDouble(Tenant::connections).toArray());
     }
 
     boolean on() {
@@ -85,44 +79,29 @@
      */
     void look(Collection<Request> requests, boolean jam) {
         boolean calm = shed == 0 && !jam;
-        double[] tenantHeld = new double[tenantExcess.length];
         if (calm) {
-            Arrays.fill(classHeld, 0);
+            loads.clear();
         }
         for (Request r : requests) {
             if (r.state == Request.State.OPEN) {
-                classHeld[r.ask.requestClass()] += calm ? loadOf(r) : 0;
-                if (r.ask.tenant() >= 0 && r.ask.tenant() < tenantHeld.length) {
-                    tenantHeld[r.ask.tenant()]++;
-                }
+                loads.holds(r.ask.requestClass(), calm ? loadOf(r) : 0);
+                shares.holds(r.ask.tenant());
             }
         }
-        double[] quota = tenants.stream().mapToDouble(Tenant::connections).toArray();
-        double[] excess = Shares.excess(tenantHeld, quota, f.set.instances());
-        for (int t = 0; t < excess.length; t++) {
-            tenantExcess[t] += (excess[t] - tenantExcess[t]) / 4;
-        }
+        shares.look(f.set.instances());
         if (!calm) {
             shed = jam ? Math.min(SHED_MOST, shed + SHED_STEP) : Math.max(0, shed - SHED_STEP / 8);
-            double[] density = new double[classHeld.length];
-            Arrays.setAll(density, this::density);
-            classShed = Shares.leastFirst(shed, classHeld, density);
+            loads.shed(shed, c -> f.set.classes().get(c).worth(), f.set.worthByWork());
         }
     }
 
-    private double density(int c) {
-        double worth = f.set.classes().get(c).worth();
-        return f.set.worthByWork() || classLoad[c] <= 0 ? worth : worth / classLoad[c];
-    }
-
     /** The load of a connection, or of its class where it tells none; 0 where neither is known. */
     double loadOf(Request r) {
-        return r.load > 0 ? r.load : classLoad[r.ask.requestClass()];
+        return r.load > 0 ? r.load : loads.of(r.ask.requestClass());
     }
 
     void loadTold(Request r, double load) {
-        int c = r.ask.requestClass();
-        classLoad[c] += (load - classLoad[c]) * (classLoad[c] == 0 ? 1 : 0.05);
+        loads.told(r.ask.requestClass(), load);
     }
 
     /** Drawn by client key, so that the same clients stay away and the others are served whole. */
@@ -131,9 +110,8 @@
             return false;
         }
         // what a tenant holds beyond its share is worth little: that part goes before any class
-        int t = r.ask.tenant();
-        double excess = t >= 0 && t < tenantExcess.length && f.set.overShareWorth() < 1 ? tenantExcess[t] : 0;
-        double part = Math.max(classShed[r.ask.requestClass()], excess);
+        double excess = f.set.overShareWorth() < 1 ? shares.excess(r.ask.tenant()) : 0;
+        double part = Math.max(loads.gives(r.ask.requestClass()), excess);
         return Chance.unit(Chance.mix(Chance.hash(r.key))) < part;
     }
 }
