--- a/src/main/java/sandstack/decisions/Draw.java
+++ b/src/main/java/sandstack/decisions/Draw.java
@@ -21,6 +21,8 @@
     private static final double HOME_WEIGHT = 2;
     /** Groups are brought together while more than this part of the servers known here is late. */
     private static final double TOGETHER_LATE = 0.25;
+    /** A group has one place while more than this part of the servers known here is cold or goes. */
+    private static final double FEW_PLACES = 0.25;
     private static final double TRIAL = 1e12;
     /** Home keeps everything while it is used by no more than this above others; at twice that, nothing. */
     static final double USE_GAP = 0.15;
@@ -76,12 +78,30 @@
      */
     private boolean together() {
         return Math.max(shedding.lateHome(), shedding.lateAway()) > TOGETHER_LATE
-                || f.set.instances() > f.set.zones() * fleet.home.length;
+                || outnumbered();
+    }
+
+    private boolean outnumbered() {
+        return f.set.instances() > f.set.zones() * fleet.home.length;
+    }
+
+    /**
+     * Which of its group's places a request goes to, by its client's key. A large group fills a server alone,
+     * and no relay of many can know its size: over two places it is served whole, and what takes one takes
+     * half. Each is paid for like some connections: while servers are replaced there is no room for a second.
+     */
+    private long place(Request r) {
+        int passing = 0;
+        for (Server s : fleet.listed) {
+            passing += s.ready() && s.warmth(f) >= 1 ? 0 : 1;
+        }
+        boolean one = !outnumbered() || passing > fleet.listed.length * FEW_PLACES;
+        return one ? 0 : Chance.mix(Chance.hash(r.key)) >>> 63;
     }
 
     /** The server for this request. Null where none can take it. */
     Server choose(Request r) {
-        long seed = r.ask.group() != null ? Chance.hash(r.ask.group()) : f.chance.next();
+        long seed = r.ask.group() == null ? f.chance.next() : Chance.hash(r.ask.group()) + place(r);
         survey.clear();
         double usable = 0;
         for (Server s : fleet.home) {
