--- a/src/main/java/sandstack/CommandLineOfAll.java
+++ b/src/main/java/sandstack/CommandLineOfAll.java
@@ -4,12 +4,14 @@
 import java.io.FileInputStream;
 import java.io.FileOutputStream;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.IVersionProvider;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 import sandstack.benchlink.Link;
 import sandstack.benchlink.WireException;
@@ -34,6 +36,13 @@
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
 
+    /** What commands take that decide by what is known of the feed servers. */
+    static final class Known {
+        @Option(names = "--capacity", paramLabel = "FILE",
+                description = "What is known of the feed servers (default: deploy/capacity.toml, which states nothing).")
+        private Path file;
+    }
+
     /** The version of the build. */
     static final class Version implements IVersionProvider {
         @Override
@@ -66,16 +75,18 @@
     }
 
     @Command(description = "A relay, as PROXY_CONFIG says.", mixinStandardHelpOptions = true)
-    int serve(@Option(names = "--fleet", description = FLEET) boolean fleet) throws BadSettings, IOException {
-        Service service = Main.service();
+    int serve(@Mixin Known known, @Option(names = "--fleet", description = FLEET) boolean fleet)
+            throws BadSettings, IOException {
+        Service service = Main.service(known.file, fleet);
         member(service, fleet);
         service.serve();
         return 0;
     }
 
     @Command(description = "A relay with a console on this terminal.", mixinStandardHelpOptions = true)
-    int console(@Option(names = "--fleet", description = FLEET) boolean fleet) throws BadSettings, IOException {
-        Service service = Main.service();
+    int console(@Mixin Known known, @Option(names = "--fleet", description = FLEET) boolean fleet)
+            throws BadSettings, IOException {
+        Service service = Main.service(known.file, fleet);
         FleetLink link = member(service, fleet);
         service.console(link == null ? Map.of() : Map.of("fleet", () -> FleetText.lines(link.view()),
                 "fleet json", () -> List.of(FleetText.json(link.view()))));
@@ -87,26 +98,22 @@
         if (!fleet) {
             return null;
         }
-        FleetFile file = FleetFile.read(Main.files());
-        if (file == null) {
-            throw new BadSettings(FleetFile.FILE + ": enabled is not true, but the command says --fleet; it takes both");
-        }
-        FleetLink link = new FleetLink(file, service.name(), service.zone());
+        FleetLink link = new FleetLink(FleetFile.read(Main.files()), service.name(), service.zone());
         link.start();
         Runtime.getRuntime().addShutdownHook(new Thread(link::close, "leave"));
         return link;
     }
 
     @Command(description = "Starts, asks itself once and ends; for the build.", mixinStandardHelpOptions = true)
-    int rehearse() throws BadSettings, IOException {
-        Main.service().rehearse();
+    int rehearse(@Mixin Known known) throws BadSettings, IOException {
+        Main.service(known.file, false).rehearse();
         return 0;
     }
 
     @Command(description = "The decisions on the simulator's wire, on standard input and output.",
             mixinStandardHelpOptions = true)
-    int simhost() throws BadSettings, IOException, WireException {
-        new Link(CapacityFile.read(Main.files())).run(new FileInputStream(FileDescriptor.in),
+    int simhost(@Mixin Known known) throws BadSettings, IOException, WireException {
+        new Link(CapacityFile.read(Main.files(), known.file)).run(new FileInputStream(FileDescriptor.in),
                 new FileOutputStream(FileDescriptor.out));
         return 0;
     }
--- a/src/main/java/sandstack/Main.java
+++ b/src/main/java/sandstack/Main.java
@@ -10,8 +10,9 @@
 import sandstack.config.PlatformConfig;
 
 /**
- * Entry point. {@code serve} alone, as the platform starts it, goes straight to the relay: the command line's library
- * would cost it start-up time and memory. Everything else is {@link CommandLineOfAll}'s.
+ * Entry point. {@code serve}, alone or with {@code --capacity FILE} as the platform starts it, goes straight to the
+ * relay: the command line's library would cost it start-up time and memory. Everything else is
+ * {@link CommandLineOfAll}'s.
  */
 public final class Main {
     private Main() {}
@@ -21,23 +22,37 @@
         return new OwnFiles(Path.of(System.getProperty("sandstack.deploy", "deploy")));
     }
 
-    static Service service() throws BadSettings {
+    /**
+     * The relay that the environment and our own files describe.
+     *
+     * @param named what is known of the feed servers; null where that is what our own file says
+     * @param fleet whether the command asks for a member of the fleet; the file has to agree, so that neither of the
+     *     two turns it on, or leaves it off, by accident
+     */
+    static Service service(Path named, boolean fleet) throws BadSettings {
         Logs.start();
+        boolean enabled = files().enabled("fleet.toml") != null;
+        if (enabled != fleet) {
+            throw new BadSettings("fleet.toml: enabled is " + enabled + ", but the command "
+                    + (fleet ? "says --fleet" : "does not say --fleet") + "; it takes both");
+        }
         Map<String, String> env = System.getenv();
-        CapacityFile capacity = CapacityFile.read(files());
+        CapacityFile capacity = CapacityFile.read(files(), named);
         MachineKinds kinds = new MachineKinds(capacity.kinds());
         return new Service(PlatformConfig.load(env, kinds), env, files(), capacity, kinds);
     }
 
     public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("serve") && !args[0].equals("rehearse")) {
+        boolean serves = args.length == 1 || args.length == 3 && args[1].equals("--capacity");
+        if (!serves || !args[0].equals("serve") && !args[0].equals("rehearse")) {
             System.exit(CommandLineOfAll.run(args));
         }
         try {
+            Service service = service(args.length == 1 ? null : Path.of(args[2]), false);
             if (args[0].equals("serve")) {
-                service().serve();
+                service.serve();
             } else {
-                service().rehearse();
+                service.rehearse();
             }
         } catch (BadSettings e) {
             System.err.println(args[0] + ": " + e.getMessage());
--- a/src/main/java/sandstack/config/CapacityFile.java
+++ b/src/main/java/sandstack/config/CapacityFile.java
@@ -1,6 +1,7 @@
 package sandstack.config;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.List;
@@ -10,7 +11,9 @@
 import sandstack.capacity.Stated;
 
 /**
- * {@code deploy/capacity.toml}: what an operator states of the feed servers, and the limits of the installation.
+ * What an operator states of the feed servers, and the limits of the installation: {@code deploy/capacity.toml}, which
+ * states nothing as shipped, or the file that a command names. One installation's figures bound another's feed servers
+ * at random, so they count only where they are asked for.
  *
  * @param kinds names of the machine kinds, in the order of the book
  */
@@ -24,78 +27,85 @@
     private static final Set<String> LIMITS = Set.of("relay", "server", "group", "setups");
     private static final int MOST_KINDS = 64;
 
-    /** Reads the file; {@link #NONE} where it is missing or off. */
-    public static CapacityFile read(OwnFiles files) throws BadSettings {
-        JsonNode root = files.enabled(FILE);
-        return root == null ? NONE : read(root);
+    /**
+     * Reads the file; {@link #NONE} where it is off, or where none is named and ours is missing.
+     *
+     * @param named by the command; null where it names none
+     */
+    public static CapacityFile read(OwnFiles files, Path named) throws BadSettings {
+        JsonNode root = named == null ? files.enabled(FILE) : OwnFiles.enabled(named);
+        return root == null ? NONE : new Reader(named == null ? FILE : named.toString()).read(root);
     }
 
-    static CapacityFile read(JsonNode root) throws BadSettings {
-        known(root, "", TABLES);
-        Stated other = stated(root.path("servers"), "servers", Stated.NOTHING);
-        List<String> names = new ArrayList<>();
-        List<Stated> kinds = new ArrayList<>();
-        table(root.path("kinds"), "kinds");
-        for (Iterator<Map.Entry<String, JsonNode>> i = root.path("kinds").fields(); i.hasNext();) {
-            Map.Entry<String, JsonNode> kind = i.next();
-            names.add(kind.getKey());
-            kinds.add(stated(kind.getValue(), "kinds." + kind.getKey(), other));
-        }
-        if (names.size() > MOST_KINDS) {
-            throw new BadSettings(FILE + ": kinds has " + names.size() + " tables, " + MOST_KINDS + " at most");
+    /** Reads one file; errors name it. */
+    private record Reader(String file) {
+        CapacityFile read(JsonNode root) throws BadSettings {
+            known(root, "", TABLES);
+            Stated other = stated(root.path("servers"), "servers", Stated.NOTHING);
+            List<String> names = new ArrayList<>();
+            List<Stated> kinds = new ArrayList<>();
+            table(root.path("kinds"), "kinds");
+            for (Iterator<Map.Entry<String, JsonNode>> i = root.path("kinds").fields(); i.hasNext();) {
+                Map.Entry<String, JsonNode> kind = i.next();
+                names.add(kind.getKey());
+                kinds.add(stated(kind.getValue(), "kinds." + kind.getKey(), other));
+            }
+            if (names.size() > MOST_KINDS) {
+                throw new BadSettings(file + ": kinds has " + names.size() + " tables, " + MOST_KINDS + " at most");
+            }
+            JsonNode l = root.path("limits");
+            known(l, "limits", LIMITS);
+            Limits limits = new Limits(count(l, "relay"), count(l, "server"), count(l, "group"),
+                    number(l, "limits", "setups", 0, 1e6));
+            return new CapacityFile(new Stated.Book(other, kinds), List.copyOf(names), limits);
         }
-        JsonNode l = root.path("limits");
-        known(l, "limits", LIMITS);
-        Limits limits = new Limits(count(l, "relay"), count(l, "server"), count(l, "group"),
-                number(l, "limits", "setups", 0, 1e6));
-        return new CapacityFile(new Stated.Book(other, kinds), List.copyOf(names), limits);
-    }
 
-    /** What a kind's table leaves out is as for all servers. */
-    private static Stated stated(JsonNode of, String where, Stated other) throws BadSettings {
-        known(of, where, STATED);
-        if (of.has("firm") && !of.path("firm").isBoolean()) {
-            throw new BadSettings(FILE + ": " + where + ".firm is neither true nor false: " + of.path("firm"));
+        /** What a kind's table leaves out is as for all servers. */
+        private Stated stated(JsonNode of, String where, Stated other) throws BadSettings {
+            known(of, where, STATED);
+            if (of.has("firm") && !of.path("firm").isBoolean()) {
+                throw new BadSettings(file + ": " + where + ".firm is neither true nor false: " + of.path("firm"));
+            }
+            return new Stated(number(of, where, "work", other.work(), 1e15),
+                    number(of, where, "connections", other.connections(), 1e9), of.path("firm").asBoolean(other.firm()),
+                    number(of, where, "load", other.load(), 1e15), number(of, where, "group", other.group(), 1e6));
         }
-        return new Stated(number(of, where, "work", other.work(), 1e15),
-                number(of, where, "connections", other.connections(), 1e9), of.path("firm").asBoolean(other.firm()),
-                number(of, where, "load", other.load(), 1e15), number(of, where, "group", other.group(), 1e6));
-    }
 
-    private static int count(JsonNode of, String name) throws BadSettings {
-        double value = number(of, "limits", name, 0, 1e9);
-        if (value != Math.rint(value)) {
-            throw new BadSettings(FILE + ": limits." + name + " is not a whole number: " + of.path(name));
+        private int count(JsonNode of, String name) throws BadSettings {
+            double value = number(of, "limits", name, 0, 1e9);
+            if (value != Math.rint(value)) {
+                throw new BadSettings(FILE + ": limits." + name + " is not a whole number: " + of.path(name));
+            }
+            return (int) value;
         }
-        return (int) value;
-    }
 
-    private static double number(JsonNode of, String where, String name, double missing, double most)
-            throws BadSettings {
-        JsonNode value = of.path(name);
-        if (value.isMissingNode()) {
-            return missing;
-        }
-        if (!value.isNumber() || !(value.asDouble() >= 0 && value.asDouble() <= most)) {
-            throw new BadSettings(FILE + ": " + where + "." + name + " must be a number from 0 to "
-                    + (long) most + ": " + value);
+        private double number(JsonNode of, String where, String name, double missing, double most)
+                throws BadSettings {
+            JsonNode value = of.path(name);
+            if (value.isMissingNode()) {
+                return missing;
+            }
+            if (!value.isNumber() || !(value.asDouble() >= 0 && value.asDouble() <= most)) {
+                throw new BadSettings(file + ": " + where + "." + name + " must be a number from 0 to "
+                        + (long) most + ": " + value);
+            }
+            return value.asDouble();
         }
-        return value.asDouble();
-    }
 
-    private static void table(JsonNode of, String where) throws BadSettings {
-        if (!of.isMissingNode() && !of.isObject()) {
-            throw new BadSettings(FILE + ": " + where + " is not a table: " + of);
+        private void table(JsonNode of, String where) throws BadSettings {
+            if (!of.isMissingNode() && !of.isObject()) {
+                throw new BadSettings(file + ": " + where + " is not a table: " + of);
+            }
         }
-    }
 
-    private static void known(JsonNode of, String where, Set<String> names) throws BadSettings {
-        table(of, where);
-        for (Iterator<String> i = of.fieldNames(); i.hasNext();) {
-            String name = i.next();
-            if (!names.contains(name)) {
-                throw new BadSettings(FILE + ": " + (where.isEmpty() ? "" : where + ".") + name
-                        + " is not known here; known are " + String.join(", ", names.stream().sorted().toList()));
+        private void known(JsonNode of, String where, Set<String> names) throws BadSettings {
+            table(of, where);
+            for (Iterator<String> i = of.fieldNames(); i.hasNext();) {
+                String name = i.next();
+                if (!names.contains(name)) {
+                    throw new BadSettings(file + ": " + (where.isEmpty() ? "" : where + ".") + name
+                            + " is not known here; known are " + String.join(", ", names.stream().sorted().toList()));
+                }
             }
         }
     }
--- a/src/main/java/sandstack/config/OwnFiles.java
+++ b/src/main/java/sandstack/config/OwnFiles.java
@@ -18,9 +18,11 @@
     /** The file's values; null where the part is off. */
     public JsonNode enabled(String name) throws BadSettings {
         Path file = folder.resolve(name);
-        if (!Files.isRegularFile(file)) {
-            return null;
-        }
+        return Files.isRegularFile(file) ? enabled(file) : null;
+    }
+
+    /** The values of a file that a command names, which has to be there; null where it says that it is off. */
+    static JsonNode enabled(Path file) throws BadSettings {
         try {
             JsonNode values = new TomlMapper().readTree(Files.readString(file));
             if (!values.path("enabled").isBoolean()) {
--- a/src/main/java/sandstack/measure/RelayProcess.java
+++ b/src/main/java/sandstack/measure/RelayProcess.java
@@ -60,6 +60,7 @@
         Path config = Files.writeString(folder.resolve("config.json"), config(setup).toString());
         String run = new TomlMapper().readTree(Files.readString(Path.of("deploy/balancer.toml"))).path("run").asText();
         String options = "-Dsandstack.deploy=" + deploy + " " + String.join(" ", setup.options());
+        run = run.replaceFirst(" --capacity \\S+", "");   // it goes by its own folder
         // the class archive belongs to one jar; without it the relay only starts later
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c",
                 run.replace("-jar target/sandstack.jar", options + " -jar " + jar.toAbsolutePath()));
--- a/src/test/java/sandstack/config/CapacityFileTest.java
+++ b/src/test/java/sandstack/config/CapacityFileTest.java
@@ -16,12 +16,14 @@
 
     private CapacityFile read(String text) throws Exception {
         Files.writeString(folder.resolve("capacity.toml"), text);
-        return CapacityFile.read(new OwnFiles(folder));
+        return CapacityFile.read(new OwnFiles(folder), null);
     }
 
     @Test
     void readsOurOwn() throws Exception {
-        CapacityFile ours = CapacityFile.read(new OwnFiles(Path.of("deploy")));
+        assertThat(CapacityFile.read(new OwnFiles(Path.of("deploy")), null)).as("as shipped")
+                .isSameAs(CapacityFile.NONE);
+        CapacityFile ours = CapacityFile.read(new OwnFiles(folder), Path.of("deploy/hq-live-feed.toml"));
         assertThat(ours.book().of(0).work()).isEqualTo(1e6);
         assertThat(ours.book().of(0).firm()).isTrue();
     }
@@ -37,10 +39,20 @@
 
     @Test
     void missingOrOffStatesNothing() throws Exception {
-        assertThat(CapacityFile.read(new OwnFiles(folder))).isSameAs(CapacityFile.NONE);
+        assertThat(CapacityFile.read(new OwnFiles(folder), null)).isSameAs(CapacityFile.NONE);
         assertThat(read("enabled = false\n")).isSameAs(CapacityFile.NONE);
     }
 
+    @Test
+    void aNamedFileThatIsNotThereOrWrongIsNamed() throws Exception {
+        Path none = folder.resolve("none.toml");
+        assertThatThrownBy(() -> CapacityFile.read(new OwnFiles(folder), none)).isInstanceOf(BadSettings.class)
+                .hasMessage("cannot read " + none);
+        Path wrong = Files.writeString(folder.resolve("site.toml"), "enabled = true\n[servers]\nwork = -1\n");
+        assertThatThrownBy(() -> CapacityFile.read(new OwnFiles(folder), wrong)).isInstanceOf(BadSettings.class)
+                .hasMessageStartingWith(wrong + ": servers.work must be");
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "[servers]§work = -1 | servers.work must be a number from 0 to 1000000000000000: -1",
--- a/src/test/java/sandstack/decisions/Rig.java
+++ b/src/test/java/sandstack/decisions/Rig.java
@@ -21,7 +21,7 @@
 
 /** Feeds one Brain and checks each of its actions against the rules. */
 final class Rig {
-    /** What deploy/capacity.toml states for the platform. */
+    /** What deploy/hq-live-feed.toml states for the platform. */
     static final Stated.Book PLATFORM = new Stated.Book(new Stated(1e6, 0, true, 1e6 / 15, 3), List.of());
     static final long AIM = 320_000;
     static final long DEADLINE = 2_000_000;
