--- a/src/test/java/sandstack/decisions/World.java
+++ b/src/test/java/sandstack/decisions/World.java
@@ -33,7 +33,8 @@
 
     /** A feed server. */
     private static final class Machine {
-        final ServerEntry entry;
+        ServerEntry entry;
+        boolean dead;
         final double rate;
         final List<Client> held = new ArrayList<>();
         double piled;
@@ -151,6 +152,44 @@
         return new Outcome(w.served / w.wanted, w.dropped, w.refused);
     }
 
+    /** A zone whose machines all die 9 s after the start and come back cold, each 4 to 5.5 s later. */
+    static Outcome zoneLost(long seed, int relays, int servers, int clients, int groups) {
+        World w = new World(seed, relays, 3, false);
+        for (int i = 0; i < servers; i++) {
+            w.machine("s" + seed + "-" + i, i % 2 == 0 ? 1.0 : 1.5, 0);
+        }
+        w.relays.forEach(w::start);
+        w.standing(clients, groups);
+        w.run(1_000_000);
+        w.wanted = w.served = w.dropped = w.refused = 0;
+        for (Machine m : w.machines.values()) {
+            if (m.entry.zone() == 1) {
+                w.at(9_000_000, () -> w.die(m));
+                w.at(9_000_000 + w.between(4_000_000, 5_500_000), () -> w.comeBackCold(m));
+            }
+        }
+        w.run(28_000_000);
+        return new Outcome(w.served / w.wanted, w.dropped, w.refused);
+    }
+
+    private void die(Machine m) {
+        m.dead = true;
+        m.piled = 0;
+        for (Client c : List.copyOf(m.held)) {
+            if (c.at == m) {
+                end(c, Decisions.Outcome.RESET);
+                comeBack(c, 150_000, 500_000);
+            }
+        }
+    }
+
+    private void comeBackCold(Machine m) {
+        ServerEntry e = m.entry;
+        m.dead = false;
+        m.entry = new ServerEntry(e.server(), e.zone(), e.cell(), e.kind(), now, Phase.READY, e.rating());
+        announce(m);
+    }
+
     private Machine machine(String name, double rating, long startedAt) {
         Machine m = new Machine(new ServerEntry(name, Math.floorMod(name.hashCode(), 97) % zones, 0, 0, startedAt,
                 Phase.READY, rating), rating * 15 * 1.3 * (0.9 + 0.6 * chance.nextDouble()));
@@ -360,6 +399,10 @@
             if (r.life != life || c.relay != r || !t.id().equals(c.id)) {
                 return;
             }
+            if (m.dead) {
+                tell(r, new AttemptEnded(t.id(), n, t.server(), Decisions.Outcome.CONNECT_FAILED, false, SET_UP, null));
+                return;
+            }
             if (m.draining) {
                 tell(r, new AttemptEnded(t.id(), n, t.server(), Decisions.Outcome.FULL, false, SET_UP, null));
                 return;
--- /dev/null
+++ b/src/test/java/sandstack/decisions/ZoneLostTest.java
@@ -0,0 +1,38 @@
+package sandstack.decisions;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Arrays;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Ninety modules whose clients' groups lose a third of the servers at once, on 24 days with few connections and 24 with
+ * more. With one place a group 0.931 and 0.898 were served and 18 and 84 connections dropped a day: a whole group that
+ * lost its server came to one other and filled it. With two it is 0.965 and 0.918, 9 and 50.
+ */
+class ZoneLostTest {
+    private static World.Outcome[] days(int clients) {
+        return LongStream.rangeClosed(1, 24).parallel().mapToObj(seed -> World.zoneLost(seed, 90,
+                21 + (int) (seed % 4) * 3, clients + (int) (seed % 3) * 20, 8 + (int) (seed % 3)))
+                .toArray(World.Outcome[]::new);
+    }
+
+    private static double served(World.Outcome[] days) {
+        return Arrays.stream(days).mapToDouble(World.Outcome::served).average().orElseThrow();
+    }
+
+    private static double dropped(World.Outcome[] days) {
+        return Arrays.stream(days).mapToInt(World.Outcome::dropped).average().orElseThrow();
+    }
+
+    @Test
+    void aGroupThatLosesItsServersDoesNotFillOneOther() {
+        World.Outcome[] few = days(90);
+        assertThat(served(few)).as("of the worth wanted, few connections").isGreaterThan(0.95);
+        assertThat(dropped(few)).as("dropped a day, few connections").isLessThan(14);
+        World.Outcome[] more = days(150);
+        assertThat(served(more)).as("of the worth wanted, more connections").isGreaterThan(0.908);
+        assertThat(dropped(more)).as("dropped a day, more connections").isLessThan(67);
+    }
+}
