Keep the fleet's libraries off every other command's path, and one member through an upgrade

And an upgrade's second process could not have been a member: the address is the first one's.

The next process of an upgrade joins once the one before has left its address; a life holds its name from its first turns, not from its construction.

--- a/src/main/java/sandstack/CommandLineOfAll.java
+++ b/src/main/java/sandstack/CommandLineOfAll.java
@@ -29,7 +29,7 @@
 @Command(name = "sandstack", description = "A relay for long-lived connections.", mixinStandardHelpOptions = true,
         versionProvider = CommandLineOfAll.Version.class, synopsisSubcommandLabel = "COMMAND",
         subcommands = {FaultsCommand.class, MeasureCommand.class, OpenCommand.class, StandInCommand.class})
-final class CommandLineOfAll implements Callable<Integer> {
+public final class CommandLineOfAll implements Callable<Integer> {
     private static final int WRONG = 2;
     private static final String FLEET = "Be a member of the fleet that deploy/fleet.toml describes and enables.";
 
@@ -53,8 +53,16 @@
     }
 
     /** Runs a command; returns the exit code. */
-    static int run(String... args) {
-        return line().execute(args);
+    public static int run(String... args) {
+        if (!FleetPath.isNeeded(args)) {
+            return line().execute(args);
+        }
+        try {
+            return FleetPath.run(args);
+        } catch (IOException e) {
+            System.err.println(args[0] + ": " + e.getMessage());
+            return 1;
+        }
     }
 
     static CommandLine line() {
@@ -99,7 +107,11 @@
             return null;
         }
         FleetLink link = new FleetLink(FleetFile.read(Main.files()), service.name(), service.zone());
-        link.start();
+        if (service.inherits()) {
+            link.startWhenFree();
+        } else {
+            link.start();
+        }
         Runtime.getRuntime().addShutdownHook(new Thread(link::close, "leave"));
         return link;
     }
--- a/src/main/java/sandstack/Service.java
+++ b/src/main/java/sandstack/Service.java
@@ -104,6 +104,11 @@
         return config.name();
     }
 
+    /** Whether another process of this relay may serve beside it. */
+    boolean inherits() {
+        return config.inherits();
+    }
+
     /** Name of the zone in which it runs. */
     String zone() {
         int home = terms.settings().homeZone();
--- a/src/main/java/sandstack/fleet/Membership.java
+++ b/src/main/java/sandstack/fleet/Membership.java
@@ -28,7 +28,7 @@
     /** Turns come this often; one that comes much later was slept through. */
     public static final long TURN = 100_000;
     static final long SLEPT = 10 * TURN;
-    /** So long after its start a life that heard of no namesake holds its name. */
+    /** So long after its first turn a life that heard of no namesake holds its name. */
     public static final long SETTLES = 1_500_000;
 
     static final long SPREAD_EVERY = 500_000;
@@ -40,7 +40,8 @@
     private final Roster roster;
     private final Reach reach;
     private final Board board;
-    private final long began;
+    /** Of the first turn; -1 before it. */
+    private long began = -1;
     private News mine;
     private long lastTurn;
     private long spread;
@@ -52,7 +53,6 @@
         roster = new Roster(self, now);
         reach = new Reach(chance);
         board = new Board(self.id());
-        began = now;
         lastTurn = now;
         mine = new News(0, Map.of(), Set.of(), Set.of());
     }
@@ -113,6 +113,7 @@
             reach.slept();
         }
         lastTurn = now;
+        began = began < 0 ? now : began;
         settled |= takenBy == null && now - began >= SETTLES;
         List<Life> ask = new ArrayList<>();
         reach.due(now).forEach(id -> ask.add(roster.life(id)));
--- a/src/main/java/sandstack/fleet/link/FleetLink.java
+++ b/src/main/java/sandstack/fleet/link/FleetLink.java
@@ -7,6 +7,9 @@
 import io.scalecube.cluster.Member;
 import io.scalecube.cluster.membership.MembershipEvent;
 import io.scalecube.cluster.transport.api.Message;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.HashMap;
@@ -64,6 +67,7 @@
     private static final Duration ANSWER_WITHIN = Duration.ofMillis(400);
     private static final long SHOWN_EVERY = 200_000;
     private static final long JOIN_SECONDS = 5;
+    private static final long JOIN_AGAIN_MS = 500;
     /** Log lines about what is no word of ours, at most one in so long. */
     private static final long WARN_EVERY = 10_000_000;
     /** The library's own detector; its suspicion lasts this many intervals times the logarithm of the members. */
@@ -128,6 +132,49 @@
      * @throws BadSettings where the address cannot be had, or a living process holds this name
      */
     public void start() throws BadSettings {
+        try {
+            join();
+        } catch (BadSettings e) {
+            close();
+            throw e;
+        }
+    }
+
+    /**
+     * Joins once it can: two processes at an upgrade are one relay and one member, which the one before is until it has
+     * left its address. Waits for nothing; meanwhile the view has this one alone.
+     */
+    public void startWhenFree() {
+        Thread waits = new Thread(() -> {
+            try {
+                while (!thread.isShutdown() && !free()) {
+                    Thread.sleep(JOIN_AGAIN_MS);
+                }
+                if (!thread.isShutdown()) {
+                    start();
+                }
+            } catch (BadSettings e) {
+                // clients are served already, and go on being served
+                LOG.severe("is no member: " + e.getMessage());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "fleet-join");
+        waits.setDaemon(true);
+        waits.start();
+    }
+
+    /** Whether nobody listens at this member's address. */
+    private boolean free() {
+        try (ServerSocket probe = new ServerSocket(file.listen().port(), 1,
+                InetAddress.getByName(file.listen().host()))) {
+            return probe.isBound();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private void join() throws BadSettings {
         ClusterConfig config = ClusterConfig.defaultLanConfig().memberId(self.id()).memberAlias(self.name())
                 .externalHost(file.listen().host()).externalPort(file.listen().port())
                 .metadata(Bodies.text(new Card(Words.VERSION, self.name(), self.zone(), self.machine())))
@@ -142,11 +189,9 @@
             cluster = new ClusterImpl(config).transportFactory(config.transportConfig()::transportFactory)
                     .handler(c -> new Heard()).start().toFuture().get(JOIN_SECONDS, TimeUnit.SECONDS);
         } catch (ExecutionException e) {
-            close();
             throw new BadSettings(FleetFile.FILE + ": listen: cannot listen at " + file.listen() + ": "
                     + e.getCause().getMessage());
         } catch (TimeoutException e) {
-            close();
             throw new BadSettings(FleetFile.FILE + ": listen: no start at " + file.listen() + " within "
                     + JOIN_SECONDS + " s");
         } catch (InterruptedException e) {
@@ -156,7 +201,6 @@
         LOG.info(self.name() + " listens for members at " + file.listen() + ", as life " + self.id());
         try {
             taken.get(Membership.SETTLES + 2 * Membership.TURN, TimeUnit.MICROSECONDS);
-            close();
             throw new BadSettings(FleetFile.FILE + ": the name " + self.name()
                     + " is held by a member that lives; stop that one, or give this one a name of its own");
         } catch (TimeoutException e) {
--- a/src/test/java/sandstack/fleet/link/FleetLinkTest.java
+++ b/src/test/java/sandstack/fleet/link/FleetLinkTest.java
@@ -206,6 +206,23 @@
         assertThatThrownBy(() -> Bodies.read(17, Words.Question.class)).hasMessage("a body that is no text");
     }
 
+    /** At an upgrade the next process of a relay becomes the member once the one before has left. */
+    @Test
+    void theNextProcessOfARelayTakesItsPlaceOnceTheOneBeforeHasLeft() throws Exception {
+        FleetLink[] two = two();
+        FleetLink next = new FleetLink(new FleetFile("inst", addresses.get(1), "machine",
+                List.of(addresses.get(0).toString()), Map.of()), "b", "zone");
+        links.add(next);
+        next.startWhenFree();
+        two[0].tell("mark", "3");
+        eventually("the fleet goes on", () -> "3".equals(told(two[1], two[0], "mark")));
+        assertThat(next.view().lines()).hasSize(1);
+        two[1].close();
+        eventually("the next one is the member, and the one before has left", () -> standing(two[0], next)
+                == Standing.ALIVE && standing(two[0], two[1]) == Standing.LEFT);
+        eventually("it holds the name", () -> next.view().settled());
+    }
+
     @Test
     void anAddressThatIsTakenIsOneLine() throws Exception {
         FleetLink a = join("inst", "a");
