--- a/src/test/java/sandstack/fleet/link/FleetLinkTest.java
+++ b/src/test/java/sandstack/fleet/link/FleetLinkTest.java
@@ -24,6 +24,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import sandstack.config.BadSettings;
 import sandstack.config.FleetFile;
 import sandstack.config.PlatformConfig.Address;
@@ -33,6 +35,7 @@
 import sandstack.fleet.Words;
 
 /** Members over real sockets in one process: what they tell and ask each other, and peers that are none. */
+@Execution(ExecutionMode.CONCURRENT)
 @Timeout(60)
 class FleetLinkTest {
     private final List<FleetLink> links = new ArrayList<>();
--- a/src/test/java/sandstack/rig/FleetProcessesTest.java
+++ b/src/test/java/sandstack/rig/FleetProcessesTest.java
@@ -8,8 +8,11 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 
 /** Relays as real processes that know of each other, with faults between them. */
+@Execution(ExecutionMode.CONCURRENT)
 @Timeout(120)
 class FleetProcessesTest {
     private static final List<String> PROGRAM = List.of("-cp", System.getProperty("java.class.path"), "sandstack.Main");
