Keep a member that others reach, where the library gave it up

The library asks through one other member within 200 ms, which a machine that starts processes misses, and takes its suspicion back only after fetching a word from the member itself, which the cut does not pass (Roster.gone took its word as the last one). Not the links (held bytes went on), not the questions (both ends had named the cut before).

Change: members say whom they reach, not only whom they do not, and one that the library gave up stays PARTLY for as long as a member that it holds says that it reaches it. The word of one who was given up does not count.

--- a/src/main/java/sandstack/fleet/Membership.java
+++ b/src/main/java/sandstack/fleet/Membership.java
@@ -83,16 +83,16 @@
     }
 
     private void reachChanged() {
-        Set<String> unknown = reach.unknown();
+        Set<String> reached = reach.reached();
         Set<String> unreached = reach.unreached();
-        if (!unknown.equals(mine.unknown()) || !unreached.equals(mine.unreached())) {
-            say(board.state(roster.self().id()).values(), unknown, unreached);
+        if (!reached.equals(mine.reached()) || !unreached.equals(mine.unreached())) {
+            say(board.state(roster.self().id()).values(), reached, unreached);
         }
-        roster.says(roster.self().id(), unknown, unreached);
+        roster.says(roster.self().id(), reached, unreached);
     }
 
-    private void say(Map<String, String> values, Set<String> unknown, Set<String> unreached) {
-        mine = new News(mine.number() + 1, values, unknown, unreached);
+    private void say(Map<String, String> values, Set<String> reached, Set<String> unreached) {
+        mine = new News(mine.number() + 1, values, reached, unreached);
     }
 
     /**
@@ -102,7 +102,7 @@
      */
     public void tell(String key, String value, long now) {
         if (board.tell(key, value, now)) {
-            say(board.state(roster.self().id()).values(), mine.unknown(), mine.unreached());
+            say(board.state(roster.self().id()).values(), mine.reached(), mine.unreached());
         }
     }
 
@@ -155,7 +155,9 @@
     public void heard(String id, News news, long now) {
         if (news != null && roster.present(id)
                 && board.heard(id, new Board.State(news.number(), news.values()), now)) {
-            roster.says(id, news.unknown(), news.unreached());
+            roster.says(id, news.reached(), news.unreached());
+            // whom the library gave up comes back by the word of one who reaches it, and goes with that
+            reach.members(roster.others());
         }
     }
 
--- a/src/main/java/sandstack/fleet/Reach.java
+++ b/src/main/java/sandstack/fleet/Reach.java
@@ -115,11 +115,11 @@
         return ids;
     }
 
-    /** Members of which this one cannot say anything yet. */
-    public Set<String> unknown() {
+    /** Members that have answered, and have not been asked in vain since. */
+    public Set<String> reached() {
         Set<String> ids = new HashSet<>();
         counts.forEach((id, c) -> {
-            if (!c.known) {
+            if (c.known && c.reached) {
                 ids.add(id);
             }
         });
--- a/src/main/java/sandstack/fleet/Roster.java
+++ b/src/main/java/sandstack/fleet/Roster.java
@@ -23,7 +23,9 @@
 
     private static final class Entry {
         final Life life;
-        Standing fate;
+        /** Whether the library holds it. */
+        boolean held = true;
+        boolean left;
         long since;
 
         Entry(Life life, long since) {
@@ -32,8 +34,8 @@
         }
     }
 
-    /** What a member says of its own reach: whom it has not asked enough yet, and whom it does not reach. */
-    private record Say(Set<String> unknown, Set<String> unreached) {}
+    /** What a member says of its own reach. */
+    private record Say(Set<String> reached, Set<String> unreached) {}
 
     /**
      * How one life stands.
@@ -67,36 +69,40 @@
         Entry entry = entries.get(life.id());
         if (entry == null) {
             entries.put(life.id(), new Entry(life, now));
-        } else if (entry.fate == Standing.LOST) {
+        } else if (!entry.left && !entry.held) {
             // behind a cut it lived on: the same life, not a new one
-            entry.fate = null;
+            entry.held = true;
             entry.since = now;
         }
     }
 
     /** The life said that it goes. */
     public void left(String id, long now) {
-        gone(id, Standing.LEFT, now);
+        gone(id, true, now);
     }
 
-    /** The library gave it up; one that had said that it goes has left. */
+    /**
+     * The library gave it up; one that had said that it goes has left. The library asks through one other member and
+     * takes back what it gave up only by a word with the member itself: one that others reach stays, by their word.
+     */
     public void removed(String id, long now) {
-        gone(id, Standing.LOST, now);
+        gone(id, false, now);
     }
 
-    private void gone(String id, Standing how, long now) {
+    private void gone(String id, boolean left, long now) {
         Entry entry = entries.get(id);
-        if (entry == null || entry.fate == Standing.LEFT || id.equals(self.id())) {
+        if (entry == null || entry.left || id.equals(self.id())) {
             return;
         }
-        entry.fate = how;
+        entry.left = left;
+        entry.held = false;
         entry.since = now;
         says.remove(id);
         forgetOldest();
     }
 
     private void forgetOldest() {
-        List<Entry> gone = new ArrayList<>(entries.values().stream().filter(e -> e.fate != null)
+        List<Entry> gone = new ArrayList<>(entries.values().stream().filter(e -> !present(e))
                 .sorted(Comparator.comparingLong(e -> e.since)).toList());
         for (int i = 0; i < gone.size() - GONE_KEPT; i++) {
             String id = gone.get(i).life.id();
@@ -107,26 +113,31 @@
     }
 
     /**
-     * What a member says that it reaches.
+     * What a member says of its reach. The word of one that the library gave up does not count: it may be old.
      *
-     * @param unknown of whom it can say nothing yet
-     * @param unreached whom it does not reach
+     * @param reached whom it reaches itself
+     * @param unreached whom it asks in vain
      */
-    public void says(String id, Set<String> unknown, Set<String> unreached) {
-        if (present(id)) {
-            says.put(id, new Say(Set.copyOf(unknown), Set.copyOf(unreached)));
+    public void says(String id, Set<String> reached, Set<String> unreached) {
+        Entry entry = entries.get(id);
+        if (entry != null && entry.held) {
+            says.put(id, new Say(Set.copyOf(reached), Set.copyOf(unreached)));
         }
     }
 
     /** Whether it is a member now. */
     boolean present(String id) {
         Entry entry = entries.get(id);
-        return entry != null && entry.fate == null;
+        return entry != null && present(entry);
+    }
+
+    private boolean present(Entry e) {
+        return !e.left && (e.held || says.values().stream().anyMatch(say -> say.reached().contains(e.life.id())));
     }
 
     /** Ids of all members but this one. */
     public List<String> others() {
-        return entries.values().stream().filter(e -> e.fate == null && e.life != self).map(e -> e.life.id()).toList();
+        return entries.values().stream().filter(e -> present(e) && e.life != self).map(e -> e.life.id()).toList();
     }
 
     /** The life with this id, gone or not; null where there is none. */
@@ -137,7 +148,7 @@
 
     /** Present lives of this one's own name. */
     public List<Life> namesakes() {
-        return entries.values().stream().filter(e -> e.fate == null && e.life != self
+        return entries.values().stream().filter(e -> present(e) && e.life != self
                 && e.life.name().equals(self.name())).map(e -> e.life).toList();
     }
 
@@ -150,16 +161,18 @@
             int voices = 0;
             for (Map.Entry<String, Say> say : says.entrySet()) {
                 // whoever is not reached itself by us has its word all the same: it came by others
-                if (!say.getKey().equals(id) && !say.getValue().unknown().contains(id)) {
+                boolean not = say.getValue().unreached().contains(id);
+                if (!say.getKey().equals(id) && (not || say.getValue().reached().contains(id))) {
                     voices++;
-                    if (say.getValue().unreached().contains(id)) {
+                    if (not) {
                         against.add(entries.get(say.getKey()).life.name());
                     }
                 }
             }
             against.sort(null);
-            Standing is = e.fate != null ? e.fate : against.isEmpty() ? Standing.ALIVE
-                    : against.size() < voices ? Standing.PARTLY : Standing.SUSPECT;
+            boolean some = against.size() < voices;
+            Standing is = e.left ? Standing.LEFT : !e.held ? some ? Standing.PARTLY : Standing.LOST
+                    : against.isEmpty() ? Standing.ALIVE : some ? Standing.PARTLY : Standing.SUSPECT;
             if (told.put(id, is) != is) {
                 toldSince.put(id, e.life == self ? began : now);
             }
--- a/src/main/java/sandstack/fleet/Standing.java
+++ b/src/main/java/sandstack/fleet/Standing.java
@@ -8,7 +8,7 @@
     PARTLY,
     /** Nobody who says anything reaches it; the library still waits for it. */
     SUSPECT,
-    /** The library gave it up. It may live on behind a cut. */
+    /** The library gave it up, and nobody says that they reach it. It may live on behind a cut. */
     LOST,
     /** It said that it goes. */
     LEFT;
--- a/src/main/java/sandstack/fleet/Words.java
+++ b/src/main/java/sandstack/fleet/Words.java
@@ -36,18 +36,18 @@
      *
      * @param number of its last change
      * @param values what it tells all
-     * @param unknown members of which it can say nothing yet
-     * @param unreached members that it does not reach
+     * @param reached members that it reaches itself
+     * @param unreached members that it asks in vain; of those in neither it says nothing
      */
-    public record News(long number, Map<String, String> values, Set<String> unknown, Set<String> unreached) {
+    public record News(long number, Map<String, String> values, Set<String> reached, Set<String> unreached) {
         /** Ids that a list holds at most: more members than the library keeps. */
         static final int MOST_IDS = 1_000;
 
         public News {
             values = values == null ? Map.of() : Map.copyOf(values);
-            unknown = unknown == null ? Set.of() : Set.copyOf(unknown);
+            reached = reached == null ? Set.of() : Set.copyOf(reached);
             unreached = unreached == null ? Set.of() : Set.copyOf(unreached);
-            if (unknown.size() > MOST_IDS || unreached.size() > MOST_IDS) {
+            if (reached.size() > MOST_IDS || unreached.size() > MOST_IDS) {
                 throw new IllegalArgumentException("more than " + MOST_IDS + " members in one list");
             }
         }
--- a/src/main/java/sandstack/fleet/link/FleetLink.java
+++ b/src/main/java/sandstack/fleet/link/FleetLink.java
@@ -108,7 +108,7 @@
     public FleetLink(FleetFile file, String name, String zone) {
         LIBRARIES.forEach(library -> library.setLevel(java.util.logging.Level.OFF));
         this.file = file;
-        this.self = new Life(UUID.randomUUID().toString().replace("-", ""), name, zone, file.machine(),
+        this.self = new Life(UUID.randomUUID().toString().replace("-", "").substring(0, 16), name, zone, file.machine(),
                 file.listen().toString());
         this.thread = new ScheduledThreadPoolExecutor(1, work -> {
             Thread t = new Thread(work, "fleet");
--- a/src/test/java/sandstack/fleet/MembershipTest.java
+++ b/src/test/java/sandstack/fleet/MembershipTest.java
@@ -307,6 +307,32 @@
         assertThatThrownBy(() -> m.tell("one more", "v", 0)).hasMessageContaining("at most");
     }
 
+    /** The library gives up whom it cannot ask itself where one other does not answer in time; others know better. */
+    @Test
+    void whomTheLibraryGaveUpStaysByTheWordOfOneWhoReachesIt() {
+        Roster roster = new Roster(new Life("me", "me", "z", "m", "a"), 0);
+        roster.added(new Life("x", "x", "z", "m", "a"), 1);
+        roster.added(new Life("y", "y", "z", "m", "a"), 1);
+        roster.says("me", Set.of("y"), Set.of("x"));
+        roster.says("y", Set.of("me", "x"), Set.of());
+        roster.removed("x", 2);
+        assertThat(standing(roster, "x")).isEqualTo(Standing.PARTLY);
+        assertThat(roster.others()).containsExactlyInAnyOrder("x", "y");
+        roster.says("y", Set.of("me"), Set.of("x"));
+        assertThat(standing(roster, "x")).isEqualTo(Standing.LOST);
+        assertThat(roster.others()).containsExactly("y");
+        roster.says("y", Set.of("me", "x"), Set.of());
+        roster.removed("y", 3);
+        // a word of one who is gone itself is none
+        assertThat(standing(roster, "x")).isEqualTo(Standing.LOST);
+        roster.added(new Life("x", "x", "z", "m", "a"), 4);
+        assertThat(standing(roster, "x")).isEqualTo(Standing.SUSPECT);
+    }
+
+    private static Standing standing(Roster roster, String id) {
+        return roster.lines(9).stream().filter(l -> l.life().id().equals(id)).findFirst().orElseThrow().standing();
+    }
+
     @Test
     void ofTheGoneOnlyTheLastAreKept() {
         Roster roster = new Roster(new Life("me", "me", "z", "m", "a"), 0);
