--- a/src/main/java/sandstack/fleet/link/FleetLink.java
+++ b/src/main/java/sandstack/fleet/link/FleetLink.java
@@ -71,6 +71,8 @@
     /** Log lines about what is no word of ours, at most one in so long. */
     private static final long WARN_EVERY = 10_000_000;
     /** The library's own detector; its suspicion lasts this many intervals times the logarithm of the members. */
+    /** A card is asked for again at the next sync; a question that a cut holds back must not keep that from happening. */
+    private static final int CARD_WITHIN = 500;
     private static final int PING_EVERY = 500;
     private static final int PING_WITHIN = 300;
     private static final int ASK_OTHERS = 3;
@@ -95,7 +97,7 @@
     private final AtomicInteger waiting = new AtomicInteger();
     private final Map<String, Standing> logged = new HashMap<>();
     private final CompletableFuture<Void> taken = new CompletableFuture<>();
-    private Cluster cluster;
+    private volatile Cluster cluster;
     private volatile Membership.View view;
     private long shownAt;
     private long warnedAt = Long.MIN_VALUE / 2;
@@ -178,7 +180,7 @@
         ClusterConfig config = ClusterConfig.defaultLanConfig().memberId(self.id()).memberAlias(self.name())
                 .externalHost(file.listen().host()).externalPort(file.listen().port())
                 .metadata(Bodies.text(new Card(Words.VERSION, self.name(), self.zone(), self.machine())))
-                .metadataCodec(Card.CODEC)
+                .metadataCodec(Card.CODEC).metadataTimeout(CARD_WITHIN)
                 .transport(t -> t.port(file.listen().port()).connectTimeout(PING_WITHIN).messageCodec(codec)
                         .maxFrameLength(LONGEST_FRAME).addressMapper(at -> file.via().getOrDefault(at, at))
                         .transportFactory(new OneAddress(file.listen().host(), codec, MOST_PEERS)))
@@ -186,8 +188,8 @@
                 .membership(m -> m.namespace(file.installation()).seedMembers(file.members())
                         .syncInterval(SYNC_EVERY).syncTimeout(PING_EVERY).suspicionMult(SUSPICION));
         try {
-            cluster = new ClusterImpl(config).transportFactory(config.transportConfig()::transportFactory)
-                    .handler(c -> new Heard()).start().toFuture().get(JOIN_SECONDS, TimeUnit.SECONDS);
+            new ClusterImpl(config).transportFactory(config.transportConfig()::transportFactory)
+                    .handler(this::heardBy).start().toFuture().get(JOIN_SECONDS, TimeUnit.SECONDS);
         } catch (ExecutionException e) {
             throw new BadSettings(FleetFile.FILE + ": listen: cannot listen at " + file.listen() + ": "
                     + e.getCause().getMessage());
@@ -212,6 +214,12 @@
         }
     }
 
+    /** Others ask before the library calls its start done. */
+    private ClusterMessageHandler heardBy(Cluster by) {
+        cluster = by;
+        return new Heard();
+    }
+
     /** What comes from the library, on threads of its own: handed to the fleet's, and dropped where that is behind. */
     private final class Heard implements ClusterMessageHandler {
         @Override
