Read the change once more: one place for what the fleet's code and its tests had twice

Behaviour as before. Roster keeps how a life was last shown in its entry instead of in two maps beside it, and loses a method that nobody called, as do FleetRig and Rules. FleetRig.allAlive serves measure fleet and the schedules; OwnFiles.onlyKnown the checks for unknown keys of fleet.toml and of schedules; in the tests World's start and means, MembershipTest's chains and SocketHolder.java serve both their users.

Seen: the tests of what changed pass (membership, rig, schedules, fleet file, roll, lost zone, first try, source).

--- a/src/main/java/sandstack/config/FleetFile.java
+++ b/src/main/java/sandstack/config/FleetFile.java
@@ -33,13 +33,7 @@
     }
 
     static FleetFile read(JsonNode root) throws BadSettings {
-        for (Iterator<String> i = root.fieldNames(); i.hasNext();) {
-            String name = i.next();
-            if (!KEYS.contains(name)) {
-                throw new BadSettings(FILE + ": " + name + " is not known here; known are "
-                        + String.join(", ", KEYS.stream().sorted().toList()));
-            }
-        }
+        OwnFiles.onlyKnown(root, KEYS, FILE + ": ");
         Address listen = Address.parse(OwnFiles.text(root, "listen", FILE), FILE + ": listen");
         List<String> members = new ArrayList<>();
         JsonNode listed = root.path("members");
--- a/src/main/java/sandstack/config/OwnFiles.java
+++ b/src/main/java/sandstack/config/OwnFiles.java
@@ -6,6 +6,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Iterator;
+import java.util.Set;
 
 /** The files of our own under deploy/: each switches one part on or off. A part without a file is off. */
 public final class OwnFiles {
@@ -36,6 +38,17 @@
         }
     }
 
+    /** Refuses keys that are none of these; where says what the line begins with. */
+    public static void onlyKnown(JsonNode values, Set<String> keys, String where) throws BadSettings {
+        for (Iterator<String> i = values.fieldNames(); i.hasNext();) {
+            String key = i.next();
+            if (!keys.contains(key)) {
+                throw new BadSettings(where + key + " is not known here; known are "
+                        + String.join(", ", keys.stream().sorted().toList()));
+            }
+        }
+    }
+
     /** A value that the file must have. */
     public static String text(JsonNode values, String name, String file) throws BadSettings {
         if (!values.path(name).isTextual() || values.path(name).asText().isEmpty()) {
--- a/src/main/java/sandstack/fleet/Membership.java
+++ b/src/main/java/sandstack/fleet/Membership.java
@@ -86,7 +86,7 @@
         Set<String> reached = reach.reached();
         Set<String> unreached = reach.unreached();
         if (!reached.equals(mine.reached()) || !unreached.equals(mine.unreached())) {
-            say(board.state(roster.self().id()).values(), reached, unreached);
+            say(mine.values(), reached, unreached);
         }
         roster.says(roster.self().id(), reached, unreached);
     }
@@ -122,11 +122,7 @@
 
     /** What to ask this member. */
     public Question question(Life of) {
-        return new Question(Words.VERSION, roster.self().id(), roster.self().name(), numberOf(of.id()), settled);
-    }
-
-    private long numberOf(String id) {
-        return board.state(id).number();
+        return new Question(Words.VERSION, roster.self().id(), roster.self().name(), board.state(of.id()).number(), settled);
     }
 
     /** What to answer. */
--- a/src/main/java/sandstack/fleet/Roster.java
+++ b/src/main/java/sandstack/fleet/Roster.java
@@ -27,6 +27,9 @@
         boolean held = true;
         boolean left;
         long since;
+        /** As it was last shown, and since when it is shown so. */
+        Standing shown;
+        long shownSince;
 
         Entry(Life life, long since) {
             this.life = life;
@@ -51,8 +54,6 @@
     private final long began;
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final Map<String, Say> says = new HashMap<>();
-    private final Map<String, Standing> told = new HashMap<>();
-    private final Map<String, Long> toldSince = new HashMap<>();
 
     public Roster(Life self, long now) {
         this.self = self;
@@ -105,10 +106,7 @@
         List<Entry> gone = new ArrayList<>(entries.values().stream().filter(e -> !present(e))
                 .sorted(Comparator.comparingLong(e -> e.since)).toList());
         for (int i = 0; i < gone.size() - GONE_KEPT; i++) {
-            String id = gone.get(i).life.id();
-            entries.remove(id);
-            told.remove(id);
-            toldSince.remove(id);
+            entries.remove(gone.get(i).life.id());
         }
     }
 
@@ -146,12 +144,6 @@
         return entry == null ? null : entry.life;
     }
 
-    /** Present lives of this one's own name. */
-    public List<Life> namesakes() {
-        return entries.values().stream().filter(e -> present(e) && e.life != self
-                && e.life.name().equals(self.name())).map(e -> e.life).toList();
-    }
-
     /** How all stand, by name and then by age. */
     public List<Line> lines(long now) {
         List<Line> lines = new ArrayList<>();
@@ -173,10 +165,11 @@
             boolean some = against.size() < voices;
             Standing is = e.left ? Standing.LEFT : !e.held ? some ? Standing.PARTLY : Standing.LOST
                     : against.isEmpty() ? Standing.ALIVE : some ? Standing.PARTLY : Standing.SUSPECT;
-            if (told.put(id, is) != is) {
-                toldSince.put(id, e.life == self ? began : now);
+            if (e.shown != is) {
+                e.shown = is;
+                e.shownSince = e.life == self ? began : now;
             }
-            lines.add(new Line(e.life, is, toldSince.get(id), voices - against.size(), voices, against));
+            lines.add(new Line(e.life, is, e.shownSince, voices - against.size(), voices, against));
         }
         lines.sort(Comparator.comparing((Line l) -> l.life().name()).thenComparingLong(Line::since)
                 .thenComparing(l -> l.life().id()));
--- a/src/main/java/sandstack/measure/MeasureFleet.java
+++ b/src/main/java/sandstack/measure/MeasureFleet.java
@@ -74,7 +74,7 @@
     private static FleetRig whole(List<String> program, int size) throws IOException {
         FleetRig rig = new FleetRig(program, size, 3);
         rig.startAll();
-        if (FleetRig.until(() -> allAlive(rig), PATIENCE + size) < 0) {
+        if (FleetRig.until(rig::allAlive, PATIENCE + size) < 0) {
             String logs = rig.logs();
             rig.close();
             throw new IOException("a fleet of " + size + " did not see itself whole; it said: " + logs);
@@ -82,16 +82,6 @@
         return rig;
     }
 
-    private static boolean allAlive(FleetRig rig) {
-        for (int i = 0; i < rig.size(); i++) {
-            Map<String, String> seen = rig.standings(i);
-            if (seen == null || seen.size() != rig.size() || !seen.values().stream().allMatch("ALIVE"::equals)) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     /**
      * One fault of one member; returns the seconds from its end until all see all alive.
      *
@@ -127,7 +117,7 @@
             case PAUSE -> rig.resume(of);
             default -> others(rig, of, false);
         }
-        long micros = FleetRig.until(() -> allAlive(rig), PATIENCE);
+        long micros = FleetRig.until(rig::allAlive, PATIENCE);
         return micros < 0 ? Double.POSITIVE_INFINITY : micros / 1e6;
     }
 
--- a/src/main/java/sandstack/rig/FleetRig.java
+++ b/src/main/java/sandstack/rig/FleetRig.java
@@ -202,13 +202,6 @@
         });
     }
 
-    /** How member i sees each life: "name standing", as one text in the order of names; null where it is silent. */
-    public String seen(int i) {
-        Map<String, String> seen = standings(i);
-        return seen == null ? null : String.join(" ", seen.entrySet().stream().map(e -> e.getKey() + "="
-                + e.getValue()).toList());
-    }
-
     /**
      * How member i sees each name: the standing of its present life, else of its last. Null where it does not answer.
      */
@@ -227,6 +220,17 @@
         return seen;
     }
 
+    /** Whether all see all alive. */
+    public boolean allAlive() {
+        for (int i = 0; i < size; i++) {
+            Map<String, String> seen = standings(i);
+            if (seen == null || seen.size() != size || !seen.values().stream().allMatch("ALIVE"::equals)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** What a member says of another: its whole line. Null where it has none. */
     public JsonNode line(int i, String name) {
         JsonNode view = members[i].view();
--- a/src/main/java/sandstack/rig/Rules.java
+++ b/src/main/java/sandstack/rig/Rules.java
@@ -216,7 +216,7 @@
             Map<String, Standing> present = new HashMap<>();
             seen.seen().forEach((life, line) -> {
                 if (line.standing().present() && present.put(line.name(), line.standing()) != null) {
-                    broken.add(new Broken("a name has one present life", i(seen) + " sees two of " + line.name()));
+                    broken.add(new Broken("a name has one present life", seen.member() + " sees two of " + line.name()));
                 }
             });
             if (present.size() != members || present.values().stream().anyMatch(s -> s != Standing.ALIVE)) {
@@ -225,8 +225,4 @@
             }
         }
     }
-
-    private static int i(Seen seen) {
-        return seen.member();
-    }
 }
--- a/src/main/java/sandstack/rig/Schedule.java
+++ b/src/main/java/sandstack/rig/Schedule.java
@@ -7,12 +7,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 import java.util.SplittableRandom;
 import sandstack.config.BadSettings;
+import sandstack.config.OwnFiles;
 
 /**
  * What is done to a fleet, and when. Drawn from a seed or read from a file; what a run found wrong is kept as such a
@@ -133,7 +133,7 @@
         } catch (com.fasterxml.jackson.core.JsonProcessingException e) {
             throw new BadSettings(file + ": " + e.getOriginalMessage().lines().findFirst().orElse("not TOML"));
         }
-        known(root, KEYS, file + ": ");
+        OwnFiles.onlyKnown(root, KEYS, file + ": ");
         int members = whole(root, "members", 1, MOST_MEMBERS, file + ": ");
         List<Step> steps = new ArrayList<>();
         if (!root.path("step").isArray() || root.path("step").size() > MOST_STEPS) {
@@ -141,7 +141,7 @@
         }
         for (JsonNode step : root.path("step")) {
             String where = file + ": step " + (steps.size() + 1) + ": ";
-            known(step, STEP_KEYS, where);
+            OwnFiles.onlyKnown(step, STEP_KEYS, where);
             if (!step.path("at").isNumber() || !(step.path("at").asDouble() >= 0)
                     || step.path("at").asDouble() > LONGEST) {
                 throw new BadSettings(where + "at must be a number from 0 to " + LONGEST + ": " + step.path("at"));
@@ -164,16 +164,6 @@
         return new Schedule(members, steps);
     }
 
-    private static void known(JsonNode of, Set<String> keys, String where) throws BadSettings {
-        for (Iterator<String> i = of.fieldNames(); i.hasNext();) {
-            String key = i.next();
-            if (!keys.contains(key)) {
-                throw new BadSettings(where + key + " is not known here; known are "
-                        + String.join(", ", keys.stream().sorted().toList()));
-            }
-        }
-    }
-
     private static int whole(JsonNode of, String key, int least, int most, String where) throws BadSettings {
         if (!of.path(key).isInt() || of.path(key).asInt() < least || of.path(key).asInt() > most) {
             throw new BadSettings(where + key + " must be a whole number from " + least + " to " + most + ": "
--- a/src/test/java/sandstack/FirstTryTest.java
+++ b/src/test/java/sandstack/FirstTryTest.java
@@ -46,9 +46,8 @@
 
     /** Types a line at a shell in the root. The tests run before the jar is made: the classes are the same. */
     private Process type(String line) throws IOException {
-        String java = Path.of(System.getProperty("java.home"), "bin/java").toString();
         Process p = new ProcessBuilder("/bin/sh", "-c", line.replaceFirst(" &$", "")
-                .replaceFirst("\\bjava ", Matcher.quoteReplacement(java + " "))
+                .replaceFirst("\\bjava ", Matcher.quoteReplacement(SocketHolder.java() + " "))
                 .replace("-jar target/sandstack.jar",
                         "-cp '" + System.getProperty("java.class.path") + "' sandstack.Main"))
                 .redirectErrorStream(true).start();
--- a/src/test/java/sandstack/decisions/RollTest.java
+++ b/src/test/java/sandstack/decisions/RollTest.java
@@ -1,8 +1,9 @@
 package sandstack.decisions;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static sandstack.decisions.World.Outcome.dropped;
+import static sandstack.decisions.World.Outcome.served;
 
-import java.util.Arrays;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 
@@ -20,14 +21,6 @@
                 .toArray(World.Outcome[]::new);
     }
 
-    private static double served(World.Outcome[] days) {
-        return Arrays.stream(days).mapToDouble(World.Outcome::served).average().orElseThrow();
-    }
-
-    private static double dropped(World.Outcome[] days) {
-        return Arrays.stream(days).mapToInt(World.Outcome::dropped).average().orElseThrow();
-    }
-
     @Test
     void theFleetServesNoLessThroughARollThanItDid() {
         World.Outcome[] days = days(false);
--- a/src/test/java/sandstack/decisions/World.java
+++ b/src/test/java/sandstack/decisions/World.java
@@ -1,6 +1,7 @@
 package sandstack.decisions;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -111,7 +112,17 @@
      * @param served part of the worth that was wanted
      * @param dropped connections that servers dropped
      */
-    record Outcome(double served, int dropped, int refused) {}
+    record Outcome(double served, int dropped, int refused) {
+        /** Mean part of the worth served over days. */
+        static double served(Outcome[] days) {
+            return Arrays.stream(days).mapToDouble(Outcome::served).average().orElseThrow();
+        }
+
+        /** Mean connections dropped a day. */
+        static double dropped(Outcome[] days) {
+            return Arrays.stream(days).mapToInt(Outcome::dropped).average().orElseThrow();
+        }
+    }
 
     private World(long seed, int relayCount, int zones, boolean bySight) {
         this.bySight = bySight;
@@ -122,12 +133,8 @@
         }
     }
 
-    /**
-     * A roll: half of the servers are replaced in steps while all relays restart, a tenth at a time.
-     *
-     * @param bySight servers are chosen by their true state instead of by the modules: what is within reach
-     */
-    static Outcome roll(long seed, int relays, int servers, int clients, int groups, boolean bySight) {
+    /** A fleet in which all clients have stood for a second; what is counted begins now. */
+    private static World standing(long seed, int relays, int servers, int clients, int groups, boolean bySight) {
         World w = new World(seed, relays, 3, bySight);
         for (int i = 0; i < servers; i++) {
             w.machine("s" + seed + "-" + i, i % 2 == 0 ? 1.0 : 1.5, 0);
@@ -136,6 +143,21 @@
         w.standing(clients, groups);
         w.run(1_000_000);
         w.wanted = w.served = w.dropped = w.refused = 0;
+        return w;
+    }
+
+    private Outcome outcome(long length) {
+        run(length);
+        return new Outcome(served / wanted, dropped, refused);
+    }
+
+    /**
+     * A roll: half of the servers are replaced in steps while all relays restart, a tenth at a time.
+     *
+     * @param bySight servers are chosen by their true state instead of by the modules: what is within reach
+     */
+    static Outcome roll(long seed, int relays, int servers, int clients, int groups, boolean bySight) {
+        World w = standing(seed, relays, servers, clients, groups, bySight);
         for (int i = 0; i < relays; i++) {
             Relay r = w.relays.get(i);
             w.at(1_500_000 + i / Math.max(1, relays / 10) * 1_600_000L, () -> w.restart(r));
@@ -148,28 +170,19 @@
             w.at(when, () -> w.announce(w.machine(next, m.entry.rating(), w.now)));
             w.at(when + 1_500_000, () -> w.drain(m));
         }
-        w.run(24_000_000);
-        return new Outcome(w.served / w.wanted, w.dropped, w.refused);
+        return w.outcome(24_000_000);
     }
 
     /** A zone whose machines all die 9 s after the start and come back cold, each 4 to 5.5 s later. */
     static Outcome zoneLost(long seed, int relays, int servers, int clients, int groups) {
-        World w = new World(seed, relays, 3, false);
-        for (int i = 0; i < servers; i++) {
-            w.machine("s" + seed + "-" + i, i % 2 == 0 ? 1.0 : 1.5, 0);
-        }
-        w.relays.forEach(w::start);
-        w.standing(clients, groups);
-        w.run(1_000_000);
-        w.wanted = w.served = w.dropped = w.refused = 0;
+        World w = standing(seed, relays, servers, clients, groups, false);
         for (Machine m : w.machines.values()) {
             if (m.entry.zone() == 1) {
                 w.at(9_000_000, () -> w.die(m));
                 w.at(9_000_000 + w.between(4_000_000, 5_500_000), () -> w.comeBackCold(m));
             }
         }
-        w.run(28_000_000);
-        return new Outcome(w.served / w.wanted, w.dropped, w.refused);
+        return w.outcome(28_000_000);
     }
 
     private void die(Machine m) {
--- a/src/test/java/sandstack/decisions/ZoneLostTest.java
+++ b/src/test/java/sandstack/decisions/ZoneLostTest.java
@@ -1,8 +1,9 @@
 package sandstack.decisions;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static sandstack.decisions.World.Outcome.dropped;
+import static sandstack.decisions.World.Outcome.served;
 
-import java.util.Arrays;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 
@@ -18,14 +19,6 @@
                 .toArray(World.Outcome[]::new);
     }
 
-    private static double served(World.Outcome[] days) {
-        return Arrays.stream(days).mapToDouble(World.Outcome::served).average().orElseThrow();
-    }
-
-    private static double dropped(World.Outcome[] days) {
-        return Arrays.stream(days).mapToInt(World.Outcome::dropped).average().orElseThrow();
-    }
-
     @Test
     void aGroupThatLosesItsServersDoesNotFillOneOther() {
         World.Outcome[] few = days(90);
--- a/src/test/java/sandstack/fleet/MembershipTest.java
+++ b/src/test/java/sandstack/fleet/MembershipTest.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.BiPredicate;
 import java.util.stream.Collectors;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -93,18 +94,23 @@
             });
         }
 
-        /** What one member spreads reaches whoever some chain of members reaches. */
-        void spread(Life from, News news) {
+        /** Whom a member that is up reaches over others that are up, where each link is such a one. */
+        Set<Life> chain(Life from, BiPredicate<Life, Life> link) {
             Set<Life> reached = new HashSet<>(Set.of(from));
             for (boolean grew = true; grew;) {
                 Set<Life> next = new HashSet<>(reached);
                 for (Life a : reached) {
-                    lives.stream().filter(b -> up(a) && up(b) && passes(a, b)).forEach(next::add);
+                    lives.stream().filter(b -> up(b) && link.test(a, b)).forEach(next::add);
                 }
                 grew = next.size() > reached.size();
                 reached = next;
             }
-            for (Life to : reached) {
+            return reached;
+        }
+
+        /** What one member spreads reaches whoever some chain of members reaches. */
+        void spread(Life from, News news) {
+            for (Life to : chain(from, this::passes)) {
                 if (to != from) {
                     after(5 * way(), () -> {
                         if (up(to)) {
@@ -147,15 +153,7 @@
                 if (!up(a)) {
                     continue;
                 }
-                Set<Life> chain = new HashSet<>(Set.of(a));
-                for (boolean grew = true; grew;) {
-                    Set<Life> next = new HashSet<>(chain);
-                    for (Life x : chain) {
-                        lives.stream().filter(y -> up(y) && passes(x, y) && passes(y, x)).forEach(next::add);
-                    }
-                    grew = next.size() > chain.size();
-                    chain = next;
-                }
+                Set<Life> chain = chain(a, (x, y) -> passes(x, y) && passes(y, x));
                 for (Life b : lives) {
                     String key = a.id() + ">" + b.id();
                     if (a == b) {
--- a/src/test/java/sandstack/rig/FleetProcessesTest.java
+++ b/src/test/java/sandstack/rig/FleetProcessesTest.java
@@ -22,7 +22,7 @@
     private void fleet(int size) throws IOException {
         rig = new FleetRig(PROGRAM, size, 1);
         rig.startAll();
-        eventually("all see all alive", 30, () -> allSee("ALIVE", size));
+        eventually("all see all alive", 30, rig::allAlive);
     }
 
     @AfterEach
@@ -34,16 +34,6 @@
         assertThat(FleetRig.until(holds, seconds)).as(what + "\n" + rig.logs()).isNotNegative();
     }
 
-    private boolean allSee(String standing, int size) {
-        for (int i = 0; i < size; i++) {
-            var seen = rig.standings(i);
-            if (seen == null || seen.size() != size || !seen.values().stream().allMatch(standing::equals)) {
-                return false;
-            }
-        }
-        return true;
-    }
-
     private boolean sees(int i, int other, String standing) {
         var seen = rig.standings(i);
         return seen != null && standing.equals(seen.get(FleetRig.name(other)));
@@ -64,7 +54,7 @@
         assertThat(rig.line(0, "m3").path("against").toString()).isEqualTo("[\"m1\"]");
         assertThat(rig.line(0, "m2").path("standing").asText()).isEqualTo("ALIVE");
         rig.heal(1, 3);
-        eventually("all alive again", 15, () -> allSee("ALIVE", 5));
+        eventually("all alive again", 15, rig::allAlive);
         assertThat(rig.logs()).doesNotContain("is LOST");
     }
 
@@ -78,7 +68,7 @@
         eventually("m3 is lost", 20, () -> sees(0, 3, "LOST") && sees(1, 3, "LOST"));
         rig.start(3);
         rig.start(2);
-        eventually("all see all alive again", 30, () -> allSee("ALIVE", 4));
+        eventually("all see all alive again", 30, rig::allAlive);
         assertThat(rig.line(0, "m3").path("life").asText()).isNotEqualTo(before);
     }
 
@@ -104,7 +94,7 @@
         eventually("m1 is doubted", 20, () -> !sees(0, 1, "ALIVE"));
         eventually("m1 is lost", 20, () -> sees(0, 1, "LOST") && sees(2, 1, "LOST"));
         rig.resume(1);
-        eventually("all alive again", 20, () -> allSee("ALIVE", 4));
+        eventually("all alive again", 20, rig::allAlive);
         // it believes that no time has passed: nothing that it missed meanwhile counts against the others
         assertThat(rig.member(1).log().subList(said, rig.member(1).log().size()))
                 .noneMatch(line -> line.contains("not reached by m1"));
@@ -116,7 +106,7 @@
         rig.cutOneWay(2, 4);
         eventually("m4 is partly reached", 15, () -> sees(0, 4, "PARTLY"));
         rig.heal(2, 4);
-        eventually("healed", 15, () -> allSee("ALIVE", 5));
+        eventually("healed", 15, rig::allAlive);
         // m4 alone reaches both halves
         for (int left : List.of(0, 1)) {
             for (int right : List.of(2, 3)) {
@@ -131,7 +121,7 @@
                 rig.heal(left, right);
             }
         }
-        eventually("one fleet, all alive", 20, () -> allSee("ALIVE", 5));
+        eventually("one fleet, all alive", 20, rig::allAlive);
         assertThat(rig.logs()).doesNotContain("is LOST");
     }
 
@@ -151,7 +141,7 @@
                 rig.heal(left, right);
             }
         }
-        eventually("one fleet again", 20, () -> allSee("ALIVE", 4));
+        eventually("one fleet again", 20, rig::allAlive);
     }
 
     @Test
