--- /dev/null
+++ b/src/test/java/sandstack/Program.java
@@ -0,0 +1,121 @@
+package sandstack;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.jar.JarEntry;
+import java.util.jar.JarOutputStream;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/**
+ * The program as {@code run} of deploy/balancer.toml starts it, from a jar and a class archive made of the classes under
+ * test: neither is built yet when tests run. One log file a process, in the test's folder.
+ */
+final class Program {
+    private final Path folder;
+    private final String classPath;
+    private final Path archive;
+    private final List<Process> started = new ArrayList<>();
+
+    /** Makes jar and archive; about two seconds. */
+    Program(Path folder) throws Exception {
+        this.folder = folder;
+        Path jar = folder.resolve("program.jar");
+        Path classes = Path.of(Service.class.getProtectionDomain().getCodeSource().getLocation().toURI());
+        try (JarOutputStream out = new JarOutputStream(Files.newOutputStream(jar)); Stream<Path> all = Files.walk(classes)) {
+            for (Path file : all.filter(Files::isRegularFile).toList()) {
+                out.putNextEntry(new JarEntry(classes.relativize(file).toString()));
+                Files.copy(file, out);
+                out.closeEntry();
+            }
+        }
+        classPath = jar + ":" + Arrays.stream(System.getProperty("java.class.path").split(":"))
+                .filter(entry -> entry.endsWith(".jar")).collect(Collectors.joining(":"));
+        archive = folder.resolve("program.jsa");
+        Process rehearsal = process(List.of(java(), "-XX:+UseSerialGC", "-XX:ArchiveClassesAtExit=" + archive, "-cp", classPath,
+                "sandstack.Main", "rehearse"), "rehearsal", config("rehearsal", 0, 1024));
+        assertThat(rehearsal.waitFor(60, TimeUnit.SECONDS)).isTrue();
+        assertThat(archive).exists();
+    }
+
+    private static String java() {
+        return Path.of(System.getProperty("java.home"), "bin/java").toString();
+    }
+
+    /** The example's configuration with this discovery and so many descriptors; it listens at a port of the system's choice. */
+    Path config(String name, int discovery, int sockets) throws IOException {
+        return Files.writeString(folder.resolve(name + ".json"), Files.readString(Path.of("examples/config.json"))
+                .replace("127.0.0.1:3000", "127.0.0.1:0").replace("127.0.0.1:8500", "127.0.0.1:" + discovery)
+                .replace("\"sockets\": 1024", "\"sockets\": " + sockets));
+    }
+
+    /**
+     * Starts one relay.
+     *
+     * @param around words before the command, as {@code taskset -c 0}
+     */
+    Process start(String around, String name, Path config) throws IOException {
+        String run = Files.readString(Path.of("deploy/balancer.toml")).lines().filter(line -> line.startsWith("run = "))
+                .map(line -> line.substring(line.indexOf('"') + 1, line.lastIndexOf('"'))).findFirst().orElseThrow();
+        String command = run.replace("exec java ", "exec " + around + " " + java() + " ")
+                .replace("target/sandstack.jsa", archive.toString())
+                .replace("-jar target/sandstack.jar", "-cp " + classPath + " sandstack.Main");
+        assertThat(command).contains(archive.toString(), "sandstack.Main serve");
+        return process(List.of("/bin/sh", "-c", command), name, config);
+    }
+
+    private Process process(List<String> command, String name, Path config) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+                .redirectOutput(folder.resolve(name + ".log").toFile());
+        builder.environment().putAll(Map.of("PROXY_CONFIG", config.toString(), "PROXY_LISTEN", "127.0.0.1:0"));
+        Process process = builder.start();
+        started.add(process);
+        return process;
+    }
+
+    String log(String name) throws IOException {
+        try (InputStream in = Files.newInputStream(folder.resolve(name + ".log"))) {
+            return new String(in.readAllBytes());
+        }
+    }
+
+    /** Waits for a line with this text; returns the line. */
+    String logged(String name, String text) throws Exception {
+        for (long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(40); System.nanoTime() < end; Thread.sleep(20)) {
+            for (String line : log(name).split("\n")) {
+                if (line.contains(text)) {
+                    return line;
+                }
+            }
+        }
+        throw new AssertionError("not logged: " + text + "; but " + log(name));
+    }
+
+    /** Waits until this relay serves; returns its port. */
+    int port(String name) throws Exception {
+        String line = logged(name, "listens for lines");
+        return Integer.parseInt(line.substring(line.lastIndexOf(':') + 1).trim());
+    }
+
+    void stop() {
+        started.forEach(Process::destroyForcibly);
+    }
+
+    /** A port that nobody listens at now. */
+    static int freePort() throws IOException {
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return probe.getLocalPort();
+        }
+    }
+}
