--- a/src/test/java/sandstack/front/platform/CrossingsTest.java
+++ b/src/test/java/sandstack/front/platform/CrossingsTest.java
@@ -92,6 +92,58 @@
         assertThat(client.hear()).as("the end of the cancelled request's connection").isNull();
     }
 
+    @Test
+    void aClientThatLeavesAsItsAnswerComesLeavesNothingBehind() throws Exception {
+        End client = asking("gone", "safe");
+        End server = held.ask();
+        held.hold();
+        server.say("UP receipt\r\n");
+        client.close();
+        held.release();
+        assertThat(server.hear()).as("the feed server's side ends too").isNull();
+        nextIs("next");
+        held.onLoop(() -> assertThat(held.relay.clients()).allMatch(c -> c.command().key().equals("next")));
+    }
+
+    /** SIGTERM and the answer come in one turn: the client is served, and told to move before its side ends. */
+    @Test
+    void anAnswerThatCrossesTheStopIsPassedOnAndItsClientMoved() throws Exception {
+        End client = asking("k", "safe");
+        End server = held.ask();
+        held.hold();
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        held.loop.execute(() -> held.relay.drain(held.lobby::unheard, () -> drained.complete(null)));
+        server.say("UP receipt\r\n");
+        held.release();
+        assertThat(client.hear()).isEqualTo("UP receipt");
+        assertThat(client.hear()).isEqualTo("MOVE");
+        assertThat(client.hear()).isNull();
+        drained.get(20, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void halfAnAnswerThatEndsMayHaveRun() throws Exception {
+        End client = asking("k", "unsafe");
+        End server = held.ask();
+        held.hold();
+        server.say("UP rec");
+        server.close();
+        held.release();
+        assertThat(client.hear()).isEqualTo("ERR");
+        assertThat(held.noAsk()).as("nothing was sent again").isTrue();
+    }
+
+    /** The first answer counts, though the second lies in the same piece. */
+    @Test
+    void aSecondAnswerChangesNothing() throws Exception {
+        End client = asking("k", "unsafe");
+        End first = held.ask();
+        first.say("BUSY\r\nUP receipt\r\n");
+        End second = held.ask();
+        second.say("UP other\r\n");
+        assertThat(client.hear()).isEqualTo("UP other");
+    }
+
     /** What came right before the reset went with it: turned away, which never ran, counted as one that may have. */
     @Test
     void anAnswerRightBeforeAResetCounts() throws Exception {
