--- a/src/test/java/sandstack/front/platform/HeldRelay.java
+++ b/src/test/java/sandstack/front/platform/HeldRelay.java
@@ -105,7 +105,8 @@
         relay.turn();
         if (holdWhen.getAsBoolean()) {
             holdWhen = () -> false;
-            stand();
+            // before the next turn, as a relay is held up that has looked at its sockets already
+            loop.execute(this::stand);
         }
     }
 
