--- a/src/test/java/sandstack/front/platform/HeldRelay.java
+++ b/src/test/java/sandstack/front/platform/HeldRelay.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import sandstack.capacity.Limits;
 import sandstack.capacity.Stated;
@@ -192,7 +193,7 @@
     void releaseWhenDue() {
         // its thread stands: nobody else touches the deadlines
         while (loop.now() <= relay.deadlines().next()) {
-            Thread.onSpinWait();
+            LockSupport.parkNanos(100_000);
         }
         release();
     }
