--- a/src/test/java/sandstack/front/platform/CrossingsTest.java
+++ b/src/test/java/sandstack/front/platform/CrossingsTest.java
@@ -67,27 +67,32 @@
         nextIs("next");
     }
 
-    /** Its retry fell due while the relay was held up: deadlines came before sockets, and it was sent on. */
-    @Test
-    void aClientThatLeftWhileItsRetryFellDueIsNotSentOn() throws Exception {
+    /** How a client makes known that it has gone. */
+    private interface Leaving {
+        void of(End client) throws IOException;
+    }
+
+    private End leftAsItsRetryFellDue(Leaving how) throws Exception {
         held.holdWhen(() -> endings(Ending.RESET) == 1);
         End client = asking("gone", "safe");
         held.ask().reset();
         held.awaitHeld();
-        client.close();
+        how.of(client);
         held.releaseWhenDue();
+        return client;
+    }
+
+    /** Its retry fell due while the relay was held up: deadlines came before sockets, and it was sent on. */
+    @Test
+    void aClientThatLeftWhileItsRetryFellDueIsNotSentOn() throws Exception {
+        leftAsItsRetryFellDue(End::close);
         nextIs("next");
     }
 
     /** The same by half: a client that ends its sending has cancelled its request. */
     @Test
     void aClientThatCancelledWhileItsRetryFellDueIsNotSentOn() throws Exception {
-        held.holdWhen(() -> endings(Ending.RESET) == 1);
-        End client = asking("gone", "safe");
-        held.ask().reset();
-        held.awaitHeld();
-        client.socket.shutdownOutput();
-        held.releaseWhenDue();
+        End client = leftAsItsRetryFellDue(c -> c.socket.shutdownOutput());
         nextIs("next");
         assertThat(client.hear()).as("the end of the cancelled request's connection").isNull();
     }
