--- a/src/main/java/sandstack/decisions/Brain.java
+++ b/src/main/java/sandstack/decisions/Brain.java
@@ -176,7 +176,7 @@
         r.attempts++;
         s.estimate.sent();
         s.gate.through();
-        s.cold.spend(f.now);
+        s.cold.spend();
         if (s.fails > 0) {
             s.trialOut = true;
         }
--- a/src/main/java/sandstack/net/Lobby.java
+++ b/src/main/java/sandstack/net/Lobby.java
@@ -1,7 +1,6 @@
 package sandstack.net;
 
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import sandstack.core.Deadlines;
 import sandstack.core.Deadlines.Deadline;
@@ -20,25 +19,15 @@
     private static final long ASK_WITHIN = 2_500_000;
     /** How long a peer that has had its last word may keep its end open. */
     private static final long LINGER = 2_000_000;
-    /** The same for one that never asked. */
-    private static final long LINGER_LATE = 400_000;
     /** Admitted clients take all but so many descriptors, or nobody could be told that there is no room. */
     private static final int LEAST_GUESTS = 8;
     private static final int ADMITTED_DESCRIPTORS = 2;
 
     /** What a front knows of one accepted peer. */
     public interface Guest {
-        /** There is no room: told in a word if there is one, and closed at once. */
+        /** There is no room, or it has not asked in time: told in a word if there is one, and closed at once. */
         void turnAway();
 
-        /**
-         * It has not asked in time. Where that can be told in a word its end is waited for: closed over a request that
-         * comes in this very moment, the connection would be reset and the word lost.
-         */
-        default void late() {
-            turnAway();
-        }
-
         /** Its socket is closed, whoever closed it. */
         default void gone() {}
     }
@@ -69,31 +58,10 @@
     /** A peer has been accepted. It may be turned away before this returns. */
     public void enter(Peer peer, Guest guest) {
         peer.watchedBy(this);
-        guests.put(peer, new Stay(guest, deadlines.at(loop.now() + ASK_WITHIN, () -> late(peer))));
+        guests.put(peer, new Stay(guest, deadlines.at(loop.now() + ASK_WITHIN, guest::turnAway)));
         makeRoom();
     }
 
-    private void late(Peer peer) {
-        // its line may have come while the relay was held up
-        peer.look();
-        Stay stay = guests.get(peer);
-        if (stay != null) {
-            stay.guest.late();
-            if (leaving.containsKey(peer)) {
-                linger(peer, takeOut(peer), LINGER_LATE);
-            }
-        }
-    }
-
-    private void linger(Peer peer, Guest guest, long length) {
-        leaving.put(peer, new Stay(guest, deadlines.at(loop.now() + length, peer::close)));
-    }
-
-    /** Nobody is waited for any more: whoever has not asked by now is told so. */
-    public void askNoLonger() {
-        List.copyOf(guests.keySet()).forEach(this::late);
-    }
-
     /** The guest has asked for what can be served; false where there is no room for it and its feed server. */
     public boolean admit(Peer peer) {
         if (admitted.size() >= (most - LEAST_GUESTS) / ADMITTED_DESCRIPTORS) {
@@ -112,7 +80,7 @@
             return;
         }
         peer.watchedBy(this);
-        linger(peer, takeOut(peer), LINGER);
+        leaving.put(peer, new Stay(takeOut(peer), deadlines.at(loop.now() + LINGER, peer::close)));
     }
 
     /** Called once for each socket that was here. */
@@ -154,7 +122,7 @@
         while (taken() > most && !guests.isEmpty()) {
             Peer peer = oldest(guests);
             // in a crowd that comes at once, the oldest may be a client whose line has not been looked at yet
-            peer.look();
+            Loop.guarded(peer, peer::readable);
             Stay stay = guests.get(peer);
             if (stay != null) {
                 stay.guest.turnAway();
--- a/src/main/java/sandstack/net/Peer.java
+++ b/src/main/java/sandstack/net/Peer.java
@@ -47,7 +47,6 @@
     private boolean discarding;
     private Lobby lobby;
     private boolean inEnded;
-    private boolean outBroken;
     private boolean closed;
 
     Peer(Connection<?> connection, Loop loop) {
@@ -95,7 +94,6 @@
             return;
         }
         int came = 0;
-        boolean broke = false;
         try {
             int n = 1;
             while (n > 0 && !discarding && in.room() > 0) {
@@ -109,16 +107,12 @@
             }
             inEnded = n < 0;
         } catch (IOException e) {
-            broke = true;
+            breakDown();
+            return;
         }
-        // first what it said: an answer may have come right before the reset
         if (came > 0) {
             owner.received(came);
         }
-        if (broke) {
-            breakDown();
-            return;
-        }
         // only now: an owner that takes everything at once has made room in a ring that was full before
         setReading();
         if (inEnded && !closed) {
@@ -126,11 +120,6 @@
         }
     }
 
-    /** Takes what has come by now: whoever is about to act on this peer's being there looks first. */
-    public void look() {
-        Loop.guarded(this, this::readable);
-    }
-
     void writable() {
         if (!closed) {
             flush();
@@ -164,7 +153,7 @@
 
     /** Writes what waits; tells the owner when nothing does. */
     public void flush() {
-        if (closed || outEnded || outBroken) {
+        if (closed || outEnded) {
             return;
         }
         try {
@@ -179,9 +168,6 @@
                 channel.shutdownOutput();
             }
         } catch (IOException e) {
-            // a peer that has closed may have answered before: what it said still lies here unread
-            outBroken = true;
-            readable();
             breakDown();
             return;
         }
@@ -256,9 +242,7 @@
     }
 
     private void breakDown() {
-        if (!closed) {
-            close();
-            owner.broken();
-        }
+        close();
+        owner.broken();
     }
 }
