--- a/review/src/CutAtRestart.java
+++ b/review/src/CutAtRestart.java
@@ -9,7 +9,7 @@
 public final class CutAtRestart {
     private static final int RELAYS = 3;
     private static final int FEED_SERVERS = 4;
-    private static final int CLIENTS = 40;
+    private static final int CLIENTS = 100;
     private static final long PIECE_PAUSE_MILLIS = 450;
     /** The longest deadline of the settings is 3 s; SIGKILL comes no sooner than 0.7 s after that. */
     private static final long KILL_AFTER_MILLIS = 3_700;
@@ -35,7 +35,7 @@
             Shop shop = new Shop(bench, i, ports);
             shop.open();
             shops.add(shop);
-            Bench.sleep(100);
+            Bench.sleep(60);
         }
         int up = 0;
         for (Shop shop : shops) {
--- a/review/src/CutLine.java
+++ b/review/src/CutLine.java
@@ -4,8 +4,8 @@
 /** One of four feed servers that write in pieces drains: does each client get only lines that its server has written? */
 public final class CutLine {
     private static final int FEED_SERVERS = 4;
-    private static final int CLIENTS = 100;
-    private static final long PIECE_PAUSE_MILLIS = 800;
+    private static final int CLIENTS = 120;
+    private static final long PIECE_PAUSE_MILLIS = 900;
 
     private CutLine() {}
 
--- a/review/src/LineFeedServer.java
+++ b/review/src/LineFeedServer.java
@@ -11,9 +11,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * A sound feed server of the line protocol that writes in pieces. It answers OPEN with UP and each line of the client at
- * once with a line, and pushes lines by itself. Each write ends in the middle of a line; the rest of that line follows
- * with the next write, which comes after the given time or, if a line of the client comes before, at once. If the
+ * A sound feed server of the line protocol. It answers OPEN with UP, and each line of the client at once with a line. With
+ * a pause it also pushes lines, and writes in pieces: each write ends in the middle of a line, and the rest of that line
+ * follows with the next write, which comes after the pause or, if a line of the client comes before, at once. If the
  * client's side ends, it ends its own.
  */
 final class LineFeedServer {
@@ -31,7 +31,7 @@
         listener = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
     }
 
-    /** Starts feed servers and adds them to the list of discovery. */
+    /** Starts feed servers and adds them to the list of discovery; a pause of 0 stands for whole lines only. */
     static List<LineFeedServer> start(Bench bench, Discovery discovery, int count, long pauseMillis)
             throws IOException {
         List<LineFeedServer> servers = new ArrayList<>();
@@ -88,7 +88,9 @@
                 linesById.put(id, lines);
                 write("UP " + name + "-" + id + "\r\n");
                 bench.note(name + " got \"" + open + "\" and answered UP");
-                Bench.daemon(name + " push", this::push);
+                if (pauseMillis > 0) {
+                    Bench.daemon(name + " push", this::push);
+                }
                 for (String line = in.readLine(); line != null; line = in.readLine()) {
                     next("answer to " + line);
                 }
@@ -121,14 +123,21 @@
                 lines.add(answer);
                 text.append(answer).append("\r\n");
             }
+            if (pauseMillis > 0) {
+                text.append(beginLine());
+            }
+            write(text.toString());
+            return true;
+        }
+
+        /** Begins a line: returns its first part, and keeps the rest for the next write. */
+        private String beginLine() {
             String line = "stock of felt slippers " + (12000 + ++number);
             lines.add(line);
             // the number is cut: a reader that took the first part for a line would read 12 instead of 12001
             int cut = line.length() - 3;
-            text.append(line, 0, cut);
             rest = line.substring(cut) + "\r\n";
-            write(text.toString());
-            return true;
+            return line.substring(0, cut);
         }
 
         private void write(String text) throws IOException {
