Bound the heap that connections use, and keep incomplete AMQP frames out of the engine

Cause: nothing counted what a connection keeps in the heap. AmqpConnection passed all input to the engine, which keeps the parts of an incomplete frame (up to 64 KiB) outside the limited buffers, and admission counted descriptors only, at the cost of an idle line connection.

Evidence: class histograms of a relay with a larger heap. 970 clients with 60,000 bytes each took the heap from 3.4 to 72.8 MB: 58.3 MB of byte arrays, and 11.4 KB each for the engine.

Only complete frames reach the engine; a frame now fits into the buffer of the socket. This holds for any number of clients and descriptors, as the sum is bounded.

--- a/src/main/java/sandstack/front/amqp/AmqpConnection.java
+++ b/src/main/java/sandstack/front/amqp/AmqpConnection.java
@@ -18,8 +18,10 @@
  */
 final class AmqpConnection implements Peer.Listener {
     private static final Logger LOG = Logger.getLogger("sandstack.amqp");
-    /** Length of the protocol header: "AMQP", the protocol id and three bytes of version. */
-    private static final int HEADER_BYTES = 8;
+    /** Heap that the engine of one connection uses with one session and one link. */
+    private static final long ENGINE_HEAP_BYTES = 12_500;
+    /** Heap for the frame that a connection has to hold while it is received or sent. */
+    private static final long FRAME_HEAP_BYTES = Peer.BUFFER_LIMIT_BYTES;
 
     private static final int PROTOCOL_ID_INDEX = 4;
     private static final int SASL_PROTOCOL_ID = 3;
@@ -50,6 +52,7 @@
     private Engine engine;
     private DeadlineScheduler.Deadline idleTick;
     private boolean hasReceived;
+
     private boolean ended;
 
     AmqpConnection(AmqpFront front, Peer peer, Listener listener) {
@@ -57,6 +60,7 @@
         this.peer = peer;
         this.listener = listener;
         peer.setListener(this);
+        peer.setProtocolHeapBytes(ENGINE_HEAP_BYTES + FRAME_HEAP_BYTES);
     }
 
     /** Starts the engine of an outbound connection; the engine of an accepted one starts with the client's header. */
@@ -91,17 +95,40 @@
     public void onBytesReceived(int count) {
         hasReceived = true;
         if (engine == null) {
-            if (peer.input().size() < HEADER_BYTES) {
+            if (peer.input().size() < FrameScanner.PROTOCOL_HEADER_BYTES) {
                 return;
             }
-            boolean sasl = peer.input().byteAt(PROTOCOL_ID_INDEX) == SASL_PROTOCOL_ID;
-            Engine newEngine = sasl ? EngineFactory.PROTON.createEngine() : EngineFactory.PROTON.createNonSaslEngine();
-            if (sasl) {
-                newEngine.saslDriver().server().setListener(new AnonymousSaslListener());
-            }
-            start(newEngine);
+            startAccepted();
+            ingest(FrameScanner.PROTOCOL_HEADER_BYTES);
+        }
+        ingestFrames();
+    }
+
+    /**
+     * Passes the complete frames to the engine. An incomplete one stays in the input buffer, whose size is limited and
+     * counted, because the engine would keep its parts until the rest arrives.
+     */
+    private void ingestFrames() {
+        int frameBytes = FrameScanner.firstFrameBytes(peer.input(), AmqpFront.MAX_FRAME_BYTES);
+        while (frameBytes > 0 && !peer.isClosed()) {
+            ingest(frameBytes);
+            frameBytes = FrameScanner.firstFrameBytes(peer.input(), AmqpFront.MAX_FRAME_BYTES);
+        }
+    }
+
+    /** Starts the engine that the client's protocol header asks for. */
+    private void startAccepted() {
+        boolean sasl = peer.input().byteAt(PROTOCOL_ID_INDEX) == SASL_PROTOCOL_ID;
+        Engine newEngine = sasl ? EngineFactory.PROTON.createEngine() : EngineFactory.PROTON.createNonSaslEngine();
+        if (sasl) {
+            newEngine.saslDriver().server().setListener(new AnonymousSaslListener());
         }
-        byte[] bytes = peer.input().takeAll();
+        start(newEngine);
+    }
+
+    private void ingest(int count) {
+        byte[] bytes =
+                peer.input().take(engine.isWritable() ? count : peer.input().size());
         if (engine.isWritable()) {
             runGuarded(
                     () -> engine.ingest(ProtonBufferAllocator.defaultAllocator().copy(bytes)));
--- a/src/main/java/sandstack/front/amqp/AmqpFront.java
+++ b/src/main/java/sandstack/front/amqp/AmqpFront.java
@@ -12,6 +12,7 @@
 import sandstack.core.Relay;
 import sandstack.net.ConnectionAdmission;
 import sandstack.net.EventLoop;
+import sandstack.net.Peer;
 import sandstack.random.BoundedMap;
 
 /**
@@ -19,8 +20,11 @@
  * Used on the event loop's thread, except for {@link #listen}, which is called before there are any connections.
  */
 public final class AmqpFront {
-    /** Maximum frame size that the relay announces to clients and feed servers. */
-    static final int MAX_FRAME_BYTES = 64 * 1024;
+    /**
+     * Maximum frame size that the relay announces to clients and feed servers: a frame fits into the buffer of a
+     * {@link Peer}, also as it is forwarded, with fields of another length.
+     */
+    static final int MAX_FRAME_BYTES = Peer.BUFFER_LIMIT_BYTES - 1024;
     /** Incoming capacity of each session, in bytes. */
     static final int SESSION_WINDOW_BYTES = 256 * 1024;
     /** A client that sends nothing for this long is disconnected. */
--- a/src/main/java/sandstack/net/ConnectionAdmission.java
+++ b/src/main/java/sandstack/net/ConnectionAdmission.java
@@ -1,18 +1,21 @@
 package sandstack.net;
 
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.logging.Logger;
+import java.util.stream.Stream;
 import sandstack.core.DeadlineScheduler;
 import sandstack.core.DeadlineScheduler.Deadline;
 import sandstack.core.Rejection;
 
 /**
- * Admission control by file descriptors. An accepted peer is pending until it has sent a valid request; then it is
- * admitted and takes a second descriptor, for its connection to a feed server. A peer that has got its final answer
- * lingers until it closes the connection. When descriptors run short, the oldest lingering peers are closed first, then
- * the oldest pending peers, so that idle connections cannot keep out clients that send requests. Used on the event
- * loop's thread only.
+ * Admission control by file descriptors and heap. An accepted peer is pending until it has sent a valid request; then
+ * it is admitted and takes a second descriptor, for its connection to a feed server. A peer that has got its final
+ * answer lingers until it closes the connection. When descriptors or heap run short, the oldest lingering peers are
+ * closed first, then pending peers, so that idle connections cannot keep out clients that send requests: the oldest if
+ * descriptors are short, those that hold the most if heap is. Used on the event loop's thread only.
  */
 public final class ConnectionAdmission {
     /** The rejection of a client for which no descriptor is left, or whose request did not arrive in time. */
@@ -29,6 +32,10 @@
     /** One for the client's socket and one for the feed server's. */
     private static final int DESCRIPTORS_PER_ADMITTED = 2;
 
+    private static final Logger LOG = Logger.getLogger("sandstack.net");
+    /** Minimum time between two log lines about closed peers. */
+    private static final long LOG_INTERVAL_MICROS = 1_000_000;
+
     /** A front's session with one accepted peer; called on the event loop's thread. */
     public interface AcceptedPeer {
         /**
@@ -55,11 +62,16 @@
 
     private final DeadlineScheduler deadlines;
     private final EventLoop loop;
+    private final HeapBudget heap;
     private int descriptorLimit;
     private final Map<Peer, Entry> pending = new LinkedHashMap<>();
     private final Map<Peer, AcceptedPeer> admitted = new LinkedHashMap<>();
     private final Map<Peer, Entry> lingering = new LinkedHashMap<>();
-    private boolean freeingDescriptors;
+    private boolean freeingResources;
+    /** The number of peers closed for want of heap since the last log line. */
+    private int closedForHeap;
+
+    private long nextHeapLogMicros;
 
     /**
      * Creates an admission control without peers.
@@ -70,12 +82,14 @@
         this.loop = loop;
         this.deadlines = deadlines;
         this.descriptorLimit = descriptorLimit;
+        heap = loop.heapBudget();
+        heap.setReclaim(this::freeResources);
     }
 
     /** Changes the limit. If it is exceeded, lingering and pending peers are closed; admitted peers stay. */
     public void setDescriptorLimit(int newLimit) {
         descriptorLimit = newLimit;
-        freeDescriptors();
+        freeResources();
     }
 
     /** Called when a front has accepted a peer, which may be rejected before this returns. */
@@ -86,7 +100,13 @@
                 new Entry(
                         acceptedPeer,
                         deadlines.schedule(loop.nowMicros() + REQUEST_TIMEOUT_MICROS, () -> onRequestTimeout(peer))));
-        freeDescriptors();
+        addIdleHeap(peer, 1);
+        freeResources();
+    }
+
+    /** Counts the heap of this number of sockets of the peer's protocol; negative if they are closed. */
+    private void addIdleHeap(Peer peer, int sockets) {
+        heap.add(sockets * peer.idleHeapBytes());
     }
 
     private void onRequestTimeout(Peer peer) {
@@ -103,6 +123,7 @@
 
     private void linger(Peer peer, AcceptedPeer acceptedPeer, long lingerMicros) {
         lingering.put(peer, new Entry(acceptedPeer, deadlines.schedule(loop.nowMicros() + lingerMicros, peer::close)));
+        addIdleHeap(peer, 1);
     }
 
     /** Treats every pending peer as one whose request did not arrive in time. */
@@ -111,19 +132,37 @@
     }
 
     /**
-     * Called when a peer has sent a valid request; false if no descriptor is left for its connection to a feed server.
+     * Called when a peer has sent a valid request; false if no descriptor or not enough heap is left for its connection
+     * to a feed server.
      */
     public boolean admit(Peer peer) {
-        if (admitted.size() >= (descriptorLimit - MIN_PENDING_PEERS) / DESCRIPTORS_PER_ADMITTED) {
+        if (admitted.size() >= (descriptorLimit - MIN_PENDING_PEERS) / DESCRIPTORS_PER_ADMITTED
+                || heap.excessWith(peer.idleHeapBytes()) > reclaimableBytes(peer)) {
             return false;
         }
         Entry entry = pending.remove(peer);
         entry.timeout.cancel();
         admitted.put(peer, entry.acceptedPeer);
-        freeDescriptors();
+        addIdleHeap(peer, DESCRIPTORS_PER_ADMITTED - 1);
+        freeResources();
         return true;
     }
 
+    /** The heap that would be free without all pending and lingering peers except this one; 0 if none is short. */
+    private long reclaimableBytes(Peer except) {
+        if (heap.excessWith(except.idleHeapBytes()) <= 0) {
+            return 0;
+        }
+        return Stream.concat(pending.keySet().stream(), lingering.keySet().stream())
+                .filter(peer -> peer != except)
+                .mapToLong(ConnectionAdmission::heapBytes)
+                .sum();
+    }
+
+    private static long heapBytes(Peer peer) {
+        return peer.idleHeapBytes() + peer.bufferHeapBytes();
+    }
+
     /**
      * Called when the peer has got its final answer. Its socket is closed after the linger time unless the peer closes
      * the connection before.
@@ -147,11 +186,16 @@
     /** Removes the peer and returns its session; null if no front has registered the peer. */
     private AcceptedPeer remove(Peer peer) {
         Entry entry = pending.containsKey(peer) ? pending.remove(peer) : lingering.remove(peer);
-        if (entry == null) {
-            return admitted.remove(peer);
+        if (entry != null) {
+            entry.timeout.cancel();
+            addIdleHeap(peer, -1);
+            return entry.acceptedPeer;
         }
-        entry.timeout.cancel();
-        return entry.acceptedPeer;
+        AcceptedPeer acceptedPeer = admitted.remove(peer);
+        if (acceptedPeer != null) {
+            addIdleHeap(peer, -DESCRIPTORS_PER_ADMITTED);
+        }
+        return acceptedPeer;
     }
 
     /** The number of pending peers: accepted, without a valid request yet. */
@@ -164,24 +208,59 @@
         return pending.size() + lingering.size() + DESCRIPTORS_PER_ADMITTED * admitted.size();
     }
 
-    private void freeDescriptors() {
-        if (freeingDescriptors) {
+    private void freeResources() {
+        if (freeingResources) {
             return;
         }
-        freeingDescriptors = true;
+        freeingResources = true;
         while (descriptorsInUse() > descriptorLimit && !lingering.isEmpty()) {
             oldest(lingering).close();
         }
         while (descriptorsInUse() > descriptorLimit && !pending.isEmpty()) {
-            Peer peer = oldest(pending);
-            // in a burst of connections the oldest peer's request may have arrived without having been read yet
-            peer.readAvailable();
-            Entry entry = pending.get(peer);
-            if (entry != null) {
-                entry.acceptedPeer.reject();
+            rejectWithoutRequest(oldest(pending));
+        }
+        freeHeap();
+        freeingResources = false;
+    }
+
+    /** Closes the pending and lingering peers that hold the most until the heap budget suffices. */
+    private void freeHeap() {
+        int closed = 0;
+        for (Peer peer = largestReclaimable(); heap.isExceeded() && peer != null; peer = largestReclaimable()) {
+            if (lingering.containsKey(peer)) {
+                peer.close();
+            } else {
+                rejectWithoutRequest(peer);
             }
+            closed++;
+        }
+        if (closed > 0) {
+            logHeapShortage(closed);
+        }
+    }
+
+    private Peer largestReclaimable() {
+        return Stream.concat(lingering.keySet().stream(), pending.keySet().stream())
+                .max(Comparator.comparingLong(ConnectionAdmission::heapBytes))
+                .orElse(null);
+    }
+
+    private void rejectWithoutRequest(Peer peer) {
+        // in a burst of connections the peer's request may have arrived without having been read yet
+        peer.readAvailable();
+        Entry entry = pending.get(peer);
+        if (entry != null) {
+            entry.acceptedPeer.reject();
+        }
+    }
+
+    private void logHeapShortage(int closed) {
+        closedForHeap += closed;
+        if (loop.nowMicros() >= nextHeapLogMicros) {
+            LOG.warning("heap budget exceeded, connections without a request in flight closed count=" + closedForHeap);
+            closedForHeap = 0;
+            nextHeapLogMicros = loop.nowMicros() + LOG_INTERVAL_MICROS;
         }
-        freeingDescriptors = false;
     }
 
     private static Peer oldest(Map<Peer, Entry> peers) {
--- a/src/main/java/sandstack/net/EventLoop.java
+++ b/src/main/java/sandstack/net/EventLoop.java
@@ -59,6 +59,7 @@
     private final TCPNIOTransport transport;
     private final TurnSelectorHandler selectorHandler = new TurnSelectorHandler(this::nowMicros);
     private final ByteBuffer discardBuffer = ByteBuffer.allocateDirect(DISCARD_BUFFER_BYTES);
+    private final HeapBudget heapBudget = new HeapBudget();
     private final long wallStartMicros = System.currentTimeMillis() * 1000;
     private final long startNanos = System.nanoTime();
     private final FilterChain outboundChain;
@@ -172,6 +173,11 @@
         return connector;
     }
 
+    /** The heap that this loop's connections use. */
+    public HeapBudget heapBudget() {
+        return heapBudget;
+    }
+
     /** Returns the channel through which this socket is written. */
     WritableByteChannel outputChannel(SocketChannel socket) {
         return outputChannels.wrap(socket);
--- a/src/main/java/sandstack/net/Peer.java
+++ b/src/main/java/sandstack/net/Peer.java
@@ -44,8 +44,13 @@
     private final SocketChannel channel;
     private final WritableByteChannel outputChannel;
     private final EventLoop loop;
-    private final RingBuffer input = new RingBuffer(BUFFER_LIMIT_BYTES);
-    private RingBuffer output = new RingBuffer(BUFFER_LIMIT_BYTES);
+    private final RingBuffer input;
+    private RingBuffer output;
+    /** Whether the input buffer is the output buffer of another socket. */
+    private boolean inputShared;
+    /** Heap that this socket and its protocol's state use, without the buffers. */
+    private long idleHeapBytes = DescriptorBudget.SOCKET_BYTES;
+
     private Listener listener;
     private boolean readingPaused;
     private boolean readInterestSet = true;
@@ -62,6 +67,8 @@
         this.channel = (SocketChannel) this.connection.getChannel();
         this.outputChannel = loop.outputChannel(channel);
         this.loop = loop;
+        input = new RingBuffer(BUFFER_LIMIT_BYTES, loop.heapBudget());
+        output = new RingBuffer(BUFFER_LIMIT_BYTES, loop.heapBudget());
         PEER_OF_CONNECTION.set(connection, this);
     }
 
@@ -74,6 +81,24 @@
         listener = newListener;
     }
 
+    /**
+     * Sets the heap that the protocol's state of this socket uses; has to be called before the socket is passed to a
+     * {@link ConnectionAdmission}.
+     */
+    public void setProtocolHeapBytes(long bytes) {
+        idleHeapBytes = DescriptorBudget.SOCKET_BYTES + bytes;
+    }
+
+    /** The heap that this socket uses while its buffers are empty, in bytes. */
+    long idleHeapBytes() {
+        return idleHeapBytes;
+    }
+
+    /** The heap that this socket's buffers use, in bytes. */
+    long bufferHeapBytes() {
+        return (long) input.allocatedBytes() + output.allocatedBytes();
+    }
+
     /** Sets the admission that is notified when this socket is closed. */
     void setAdmission(ConnectionAdmission newAdmission) {
         admission = newAdmission;
@@ -95,7 +120,9 @@
      * Uses another socket's input buffer as output buffer, so that bytes received there are sent here without a copy.
      */
     public void writeInputOf(Peer other) {
+        output.stopCounting();
         output = other.input;
+        other.inputShared = true;
     }
 
     /** Reads the available input, up to the capacity of the buffer. */
@@ -107,7 +134,7 @@
         boolean failed = false;
         try {
             int count = 1;
-            while (count > 0 && !discardingInput && input.remainingCapacity() > 0) {
+            while (count > 0 && !discardingInput && hasInputCapacity()) {
                 count = input.readFrom(channel);
                 received += Math.max(0, count);
             }
@@ -132,6 +159,17 @@
         if (inputEnded && !closed) {
             listener.onEndOfInput();
         }
+        loop.heapBudget().enforce();
+    }
+
+    /**
+     * Whether the input buffer takes more bytes. While the heap budget is exceeded, a buffer that another socket writes
+     * takes more only once it has been written.
+     */
+    private boolean hasInputCapacity() {
+        boolean waitsForWrite =
+                inputShared && !input.isEmpty() && loop.heapBudget().isExceeded();
+        return input.remainingCapacity() > 0 && !waitsForWrite;
     }
 
     /**
@@ -205,7 +243,7 @@
     }
 
     private void updateReadInterest() {
-        boolean wanted = !inputEnded && !readingPaused && input.remainingCapacity() > 0;
+        boolean wanted = !inputEnded && !readingPaused && hasInputCapacity();
         if (closed || wanted == readInterestSet) {
             return;
         }
@@ -249,6 +287,10 @@
         if (!closed) {
             closed = true;
             connection.terminateSilently();
+            output.stopCounting();
+            if (!inputShared) {
+                input.stopCounting();
+            }
             if (admission != null) {
                 admission.onClosed(this);
             }
--- a/src/main/java/sandstack/net/RingBuffer.java
+++ b/src/main/java/sandstack/net/RingBuffer.java
@@ -15,17 +15,21 @@
     private static final byte[] EMPTY = new byte[0];
 
     private final int limit;
+    private final HeapBudget heap;
     private byte[] bytes = EMPTY;
     private int head;
     private int size;
+    private boolean counted = true;
 
     /**
      * Creates an empty buffer; memory is allocated with the first bytes.
      *
      * @param limit maximum number of bytes, a power of two; only {@link #append} may exceed it
+     * @param heap counts the allocated memory until {@link #stopCounting}
      */
-    public RingBuffer(int limit) {
+    RingBuffer(int limit, HeapBudget heap) {
         this.limit = limit;
+        this.heap = heap;
     }
 
     /**
@@ -83,14 +87,28 @@
         for (int i = 0; i < size; i++) {
             larger[i] = byteAt(i);
         }
-        bytes = larger;
-        head = 0;
+        replaceBytes(larger);
     }
 
     private void release() {
         if (size == 0) {
-            bytes = EMPTY;
-            head = 0;
+            replaceBytes(EMPTY);
+        }
+    }
+
+    private void replaceBytes(byte[] replacement) {
+        if (counted) {
+            heap.add(replacement.length - bytes.length);
+        }
+        bytes = replacement;
+        head = 0;
+    }
+
+    /** Ends the counting of this buffer's memory; called when its connection is closed. */
+    void stopCounting() {
+        if (counted) {
+            heap.add(-bytes.length);
+            counted = false;
         }
     }
 
@@ -99,6 +117,15 @@
         return bytes[(head + index) & (bytes.length - 1)];
     }
 
+    /** Returns the four bytes from an index as a big-endian integer; there have to be that many. */
+    public int intAt(int index) {
+        int value = 0;
+        for (int i = 0; i < Integer.BYTES; i++) {
+            value = (value << Byte.SIZE) | (byteAt(index + i) & 0xff);
+        }
+        return value;
+    }
+
     /** Returns the index of the oldest byte equal to {@code wanted}; -1 if there is none. */
     public int indexOf(char wanted) {
         for (int i = 0; i < size; i++) {
@@ -120,12 +147,17 @@
 
     /** Consumes and returns all bytes. */
     public byte[] takeAll() {
-        byte[] all = new byte[size];
-        for (int i = 0; i < all.length; i++) {
-            all[i] = byteAt(i);
+        return take(size);
+    }
+
+    /** Consumes and returns the oldest bytes; {@code count} is at most {@link #size}. */
+    public byte[] take(int count) {
+        byte[] taken = new byte[count];
+        for (int i = 0; i < count; i++) {
+            taken[i] = byteAt(i);
         }
-        skip(size);
-        return all;
+        skip(count);
+        return taken;
     }
 
     /** Consumes the oldest bytes; {@code count} is at most {@link #size}. */
@@ -146,6 +178,11 @@
         return size;
     }
 
+    /** The number of bytes of heap that the buffer occupies. */
+    int allocatedBytes() {
+        return bytes.length;
+    }
+
     /** The number of bytes that fit until the limit; never negative, although {@link #append} may exceed the limit. */
     public int remainingCapacity() {
         return Math.max(0, limit - size);
--- a/src/main/java/sandstack/service/RelayService.java
+++ b/src/main/java/sandstack/service/RelayService.java
@@ -32,6 +32,7 @@
 import sandstack.net.ConnectionAdmission;
 import sandstack.net.DescriptorBudget;
 import sandstack.net.EventLoop;
+import sandstack.net.HeapBudget;
 import sandstack.staleness.EndpointListStaleness;
 import sun.misc.Signal;
 
@@ -97,6 +98,8 @@
         watch = new DiscoveryWatch(loop, relay, config.discovery(), listFormat);
         int reservedDescriptors = OTHER_DESCRIPTORS + (config.operator() == null ? 0 : OperatorFront.MAX_CONNECTIONS);
         int descriptors = descriptorsWithin(config.maxDescriptors() - reservedDescriptors);
+        loop.heapBudget()
+                .setLimitBytes(HeapBudget.forConnections(Runtime.getRuntime().maxMemory()));
         admission = new ConnectionAdmission(loop, relay.deadlines(), descriptors);
         listeners = new Listeners(config.name(), lifecycle, loop);
         clientListener =
--- a/src/test/java/sandstack/RelayLauncher.java
+++ b/src/test/java/sandstack/RelayLauncher.java
@@ -93,6 +93,13 @@
         return process(List.of("/bin/sh", "-c", command(prefix)), name, config, 0);
     }
 
+    /** Starts one relay at an ephemeral port that reads its files under deploy/ from this folder. */
+    Process startWithDeployFiles(Path deployFolder, String name, Path config) throws IOException {
+        String command =
+                command("").replace(" sandstack.Main", " -Dsandstack.deploy=" + deployFolder + " sandstack.Main");
+        return process(List.of("/bin/sh", "-c", command), name, config, 0);
+    }
+
     /** Starts one relay that listens at this port. */
     Process startAt(int port, String name, Path config) throws IOException {
         return process(List.of("/bin/sh", "-c", command("")), name, config, port);
