Limit the sessions and links of an AMQP client

Cause: the relay announced no channel-max, so that the engine kept up to 65,536 sessions of one client. Evidence: class histogram of a relay with a larger heap, 12,685 sessions a second after the client began, 60.2 MB of object arrays, 6.3 KB a session.

Change: a client may open two sessions with two links each, as the engine enforces: one for its request, one more in which a further link gets its error. The heap that is counted for an engine includes them.

--- a/src/main/java/sandstack/front/amqp/AmqpClientSession.java
+++ b/src/main/java/sandstack/front/amqp/AmqpClientSession.java
@@ -72,12 +72,14 @@
         newConnection.setContainerId(front.containerId());
         newConnection.setIdleTimeout(AmqpFront.CLIENT_IDLE_TIMEOUT_MILLIS);
         newConnection.setMaxFrameSize(AmqpFront.MAX_FRAME_BYTES);
+        newConnection.setChannelMax(AmqpFront.MAX_CLIENT_CHANNEL);
         newConnection.openHandler(c -> {
             c.open();
             amqpConnection.tickIdle();
         });
         newConnection.sessionOpenHandler(s -> {
             s.setIncomingCapacity(AmqpFront.SESSION_WINDOW_BYTES);
+            s.setHandleMax(AmqpFront.MAX_CLIENT_HANDLE);
             if (session == null) {
                 session = s;
                 s.closeHandler(x -> onClientClosed());
--- a/src/main/java/sandstack/front/amqp/AmqpConnection.java
+++ b/src/main/java/sandstack/front/amqp/AmqpConnection.java
@@ -18,8 +18,8 @@
  */
 final class AmqpConnection implements Peer.Listener {
     private static final Logger LOG = Logger.getLogger("sandstack.amqp");
-    /** Heap that the engine of one connection uses with one session and one link. */
-    private static final long ENGINE_HEAP_BYTES = 12_500;
+    /** Heap that the engine of one connection uses with all sessions and links that it may have. */
+    private static final long ENGINE_HEAP_BYTES = 16_000;
     /** Heap for the frame that a connection has to hold while it is received or sent. */
     private static final long FRAME_HEAP_BYTES = Peer.BUFFER_LIMIT_BYTES;
 
--- a/src/main/java/sandstack/front/amqp/AmqpFront.java
+++ b/src/main/java/sandstack/front/amqp/AmqpFront.java
@@ -25,6 +25,13 @@
      * {@link Peer}, also as it is forwarded, with fields of another length.
      */
     static final int MAX_FRAME_BYTES = Peer.BUFFER_LIMIT_BYTES - 1024;
+    /**
+     * Highest channel that a client may use. Its request needs one session; a second one lets it get an error for a
+     * further link.
+     */
+    static final int MAX_CLIENT_CHANNEL = 1;
+    /** Highest handle that a client may use in a session, for the same reason. */
+    static final int MAX_CLIENT_HANDLE = 1;
     /** Incoming capacity of each session, in bytes. */
     static final int SESSION_WINDOW_BYTES = 256 * 1024;
     /** A client that sends nothing for this long is disconnected. */
