Pass no AMQP frames to the engine while forwarding waits

Cause: a pause of reading stopped the socket, not the frames that had been read with it. With the session window shut, the next delivery replaced the one that was being sent, which the engine refuses; output grew beyond its limit; and a flush of either connection resumed reading.

Change: AmqpConnection keeps frames in the limited input buffer until reading resumes, and an end of input that came with them. TransferForwarder resumes only if the backlog is empty and the output is not full; while the heap budget is exceeded, any unsent output counts as full.

Tests: a scenario of four deliveries in one read failed before ("reset" in place of "line b1"); AmqpBackPressureTest failed before (147,456 bytes where 32,768 are allowed). Both pass now.

--- a/src/main/java/sandstack/front/amqp/AmqpConnection.java
+++ b/src/main/java/sandstack/front/amqp/AmqpConnection.java
@@ -22,6 +22,8 @@
     private static final long ENGINE_HEAP_BYTES = 16_000;
     /** Heap for the frame that a connection has to hold while it is received or sent. */
     private static final long FRAME_HEAP_BYTES = Peer.BUFFER_LIMIT_BYTES;
+    /** Unsent bytes above which nothing more is forwarded to this connection. */
+    private static final int MAX_PENDING_BYTES = 64 * 1024;
 
     private static final int PROTOCOL_ID_INDEX = 4;
     private static final int SASL_PROTOCOL_ID = 3;
@@ -52,6 +54,10 @@
     private Engine engine;
     private DeadlineScheduler.Deadline idleTick;
     private boolean hasReceived;
+    private boolean paused;
+    private boolean ingesting;
+    /** Whether the other side's FIN has been received while frames before it were waiting. */
+    private boolean endOfInputDeferred;
 
     private boolean ended;
 
@@ -105,15 +111,47 @@
     }
 
     /**
-     * Passes the complete frames to the engine. An incomplete one stays in the input buffer, whose size is limited and
-     * counted, because the engine would keep its parts until the rest arrives.
+     * Passes the complete frames to the engine, one at a time, until reading is paused. An incomplete one stays in the
+     * input buffer, whose size is limited and counted, because the engine would keep its parts until the rest arrives.
      */
     private void ingestFrames() {
+        if (ingesting) {
+            return;
+        }
+        ingesting = true;
         int frameBytes = FrameScanner.firstFrameBytes(peer.input(), AmqpFront.MAX_FRAME_BYTES);
-        while (frameBytes > 0 && !peer.isClosed()) {
+        while (frameBytes > 0 && !paused && !peer.isClosed()) {
             ingest(frameBytes);
             frameBytes = FrameScanner.firstFrameBytes(peer.input(), AmqpFront.MAX_FRAME_BYTES);
         }
+        ingesting = false;
+    }
+
+    /** Stops reading, and passes nothing more to the engine until {@link #resumeReading}. */
+    void pauseReading() {
+        paused = true;
+        peer.pauseReading();
+    }
+
+    /** Reads again after {@link #pauseReading}, beginning with what has been received. */
+    void resumeReading() {
+        if (paused) {
+            paused = false;
+            ingestFrames();
+        }
+        if (paused) {
+            return;
+        }
+        peer.resumeReading();
+        if (endOfInputDeferred) {
+            endOfInputDeferred = false;
+            onEndOfInput();
+        }
+    }
+
+    /** Whether so much output is unsent that nothing more should be forwarded; any if the heap is short. */
+    boolean isOutputFull() {
+        return peer.pendingBytes() > (peer.isHeapShort() ? 0 : MAX_PENDING_BYTES);
     }
 
     /** Starts the engine that the client's protocol header asks for. */
@@ -215,6 +253,10 @@
 
     @Override
     public void onEndOfInput() {
+        if (paused && !ended) {
+            endOfInputDeferred = true;
+            return;
+        }
         notifyEnded(ConnectionOutcome.CLOSED_EARLY);
         peer.shutdownOutput();
         if (peer.isOutputEnded()) {
--- a/src/main/java/sandstack/front/amqp/TransferForwarder.java
+++ b/src/main/java/sandstack/front/amqp/TransferForwarder.java
@@ -20,9 +20,6 @@
  * only.
  */
 final class TransferForwarder {
-    /** Bytes pending at the sender's connection above which the receiver's connection stops reading. */
-    private static final int MAX_PENDING_BYTES = 64 * 1024;
-
     private final Receiver receiver;
     private final AmqpConnection receiverConnection;
     private final Sender sender;
@@ -150,18 +147,16 @@
     }
 
     private void updateReading() {
-        if (!backlog.isEmpty() || senderConnection.peer().pendingBytes() > MAX_PENDING_BYTES) {
-            receiverConnection.peer().pauseReading();
+        if (!backlog.isEmpty() || senderConnection.isOutputFull()) {
+            receiverConnection.pauseReading();
         } else {
-            receiverConnection.peer().resumeReading();
+            receiverConnection.resumeReading();
         }
     }
 
     /** Called when all pending output of one of the two connections has been written. */
     void onFlushed() {
-        if (backlog.isEmpty()) {
-            receiverConnection.peer().resumeReading();
-        }
+        updateReading();
     }
 
     private static ProtonBuffer empty() {
--- a/src/main/java/sandstack/net/Peer.java
+++ b/src/main/java/sandstack/net/Peer.java
@@ -204,6 +204,11 @@
         return output.size();
     }
 
+    /** Whether the connections of this socket's loop use more heap than they may. */
+    public boolean isHeapShort() {
+        return loop.heapBudget().isExceeded();
+    }
+
     /** Stops reading until {@link #resumeReading}. */
     public void pauseReading() {
         readingPaused = true;
--- a/src/test/java/sandstack/scenario/AmqpActor.java
+++ b/src/test/java/sandstack/scenario/AmqpActor.java
@@ -1,10 +1,13 @@
 package sandstack.scenario;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import org.apache.qpid.protonj2.buffer.ProtonBuffer;
@@ -29,6 +32,9 @@
 
 /** A client or feed server that uses AMQP 1.0. The engine is only used while the lock of this object is held. */
 final class AmqpActor extends Actor {
+    /** Incoming capacity of a feed server's session: one frame. */
+    private static final int SERVER_WINDOW_BYTES = 64 * 1024;
+
     private final boolean client;
     private Engine engine;
     private Connection connection;
@@ -36,6 +42,11 @@
     /** Whether either side has closed the link or the connection with an error. */
     private boolean closedWithError;
 
+    /** Deliveries whose bytes are left unread, which keeps the session window shut; null if none are to be left. */
+    private List<IncomingDelivery> unreadDeliveries;
+    /** What is sent with the next write; null if each frame is sent at once. */
+    private ByteArrayOutputStream combinedOutput;
+
     private IncomingDelivery lastDelivery;
     private StringBuilder partialText = new StringBuilder();
     private OutgoingDelivery openDelivery;
@@ -51,10 +62,10 @@
         engine.outputConsumer(buffer -> {
             byte[] bytes = new byte[buffer.getReadableBytes()];
             buffer.readBytes(bytes, 0, bytes.length);
-            try {
-                socket.getOutputStream().write(bytes);
-            } catch (IOException e) {
-                // the remote side has closed the connection; the reader thread adds the event
+            if (combinedOutput != null) {
+                combinedOutput.writeBytes(bytes);
+            } else {
+                write(bytes);
             }
         });
         engine.errorHandler(e -> events.add("engine failed"));
@@ -68,12 +79,21 @@
         });
         if (!client) {
             connection.openHandler(c -> c.setContainerId("feed").open());
-            connection.sessionOpenHandler(Session::open);
+            connection.sessionOpenHandler(
+                    session -> session.setIncomingCapacity(SERVER_WINDOW_BYTES).open());
             connection.senderOpenHandler(this::onAttached);
             connection.receiverOpenHandler(this::onAttached);
         }
     }
 
+    private void write(byte[] bytes) {
+        try {
+            socket.getOutputStream().write(bytes);
+        } catch (IOException e) {
+            // the remote side has closed the connection; the reader thread adds the event
+        }
+    }
+
     private void onAttached(Link<?> newLink) {
         link = newLink;
         Map<Symbol, Object> p = newLink.getRemoteProperties();
@@ -95,13 +115,10 @@
         });
         if (link instanceof Receiver r) {
             r.deliveryReadHandler(d -> {
-                ProtonBuffer bytes = d.readAll();
-                partialText.append(bytes == null ? "" : bytes.toString(StandardCharsets.UTF_8));
-                if (!d.isPartial()) {
-                    lastDelivery = d;
-                    String text = partialText.length() > 100 ? partialText.length() + " bytes" : partialText.toString();
-                    partialText = new StringBuilder();
-                    events.add("line " + text);
+                if (unreadDeliveries != null) {
+                    unreadDeliveries.add(d);
+                } else {
+                    readDelivery(d);
                 }
             });
             r.deliveryAbortedHandler(d -> {
@@ -118,6 +135,17 @@
         }
     }
 
+    private void readDelivery(IncomingDelivery delivery) {
+        ProtonBuffer bytes = delivery.readAll();
+        partialText.append(bytes == null ? "" : bytes.toString(StandardCharsets.UTF_8));
+        if (!delivery.isPartial()) {
+            lastDelivery = delivery;
+            String text = partialText.length() > 100 ? partialText.length() + " bytes" : partialText.toString();
+            partialText = new StringBuilder();
+            events.add("line " + text);
+        }
+    }
+
     private void onRemoteClosed(ErrorCondition error) {
         if (closedWithError) {
             return;
@@ -155,6 +183,9 @@
                 case "line" -> deliver(message.substring(5), true);
                 case "big" -> deliver("x".repeat(Integer.parseInt(words[1])), true);
                 case "part" -> deliver(message.substring(5), false);
+                case "lines" -> deliverTogether(List.of(words).subList(1, words.length));
+                case "leave-unread" -> unreadDeliveries = new ArrayList<>();
+                case "read" -> readUnread();
                 case "accept" -> lastDelivery.disposition(Accepted.getInstance(), true);
                 case "credit" -> ((Receiver) link).addCredit(Integer.parseInt(words[1]));
                 case "second" -> connection
@@ -217,6 +248,26 @@
         link.close();
     }
 
+    /** Sends several deliveries with one write. */
+    private void deliverTogether(List<String> texts) throws InterruptedException {
+        while (!((Sender) link).isSendable()) {
+            wait(10_000);
+        }
+        combinedOutput = new ByteArrayOutputStream();
+        for (String text : texts) {
+            deliver(text, true);
+        }
+        byte[] bytes = combinedOutput.toByteArray();
+        combinedOutput = null;
+        write(bytes);
+    }
+
+    private void readUnread() {
+        List<IncomingDelivery> deliveries = unreadDeliveries;
+        unreadDeliveries = null;
+        deliveries.forEach(this::readDelivery);
+    }
+
     private void deliver(String text, boolean complete) throws InterruptedException {
         while (client && !((Sender) link).isSendable()) {
             wait(10_000);
--- a/src/test/java/sandstack/scenario/ScenarioFixture.java
+++ b/src/test/java/sandstack/scenario/ScenarioFixture.java
@@ -163,6 +163,17 @@
         return onLoop(relay::metricLines);
     }
 
+    long usedHeapBytes() throws Exception {
+        return onLoop(() -> loop.heapBudget().usedBytes());
+    }
+
+    void setHeapLimitBytes(long bytes) throws Exception {
+        onLoop(() -> {
+            loop.heapBudget().setLimitBytes(bytes);
+            return null;
+        });
+    }
+
     int clients() throws Exception {
         return onLoop(() -> relay.clients().size());
     }
