Forward a line once it is complete, so that a migration never waits for its end

Cause: parts of lines were forwarded as they came. A migration reported the connection as ended, which takes it out of RequestRegistry, and only then waited up to 0.5 s for the end of the line. GracefulShutdown saw no client left, and the process ended 0.15 s later. After the 0.5 s a migration ended the line itself, so that the client got a part of a line as a whole one.

Change: the part of a line at the end of the input stays in the buffer until the line is complete (RingBuffer.withholdLast). A client is thus always between two lines, and migrate() sends MOVE in the same call in which the end is reported, for any pause within a line and for every kind of migration.

--- a/src/main/java/sandstack/front/platform/LineScanner.java
+++ b/src/main/java/sandstack/front/platform/LineScanner.java
@@ -40,11 +40,6 @@
         }
     }
 
-    /** Resets {@link #partialLineBytes}; the caller has dropped the incomplete line from the buffer. */
-    void dropPartialLine() {
-        partialLineBytes = 0;
-    }
-
     /** How many bytes of the last, still incomplete line have been received. */
     int partialLineBytes() {
         return partialLineBytes;
--- a/src/main/java/sandstack/front/platform/UpstreamConnection.java
+++ b/src/main/java/sandstack/front/platform/UpstreamConnection.java
@@ -8,12 +8,11 @@
 
 /**
  * The connection to the feed server of one attempt: sends the request, evaluates the answer and, once established,
- * forwards lines to the client and scans them for {@code LOAD} reports. Used on the event loop's thread only.
+ * forwards lines to the client and scans them for {@code LOAD} reports. A line is forwarded once it is complete, so
+ * that the client can be sent {@code MOVE} at any time. Used on the event loop's thread only.
  */
 final class UpstreamConnection implements ConnectionAttempt.Upstream, Peer.Listener, EventLoop.ConnectListener {
     private static final Logger LOG = Logger.getLogger("sandstack.platform");
-    /** How long a migration waits for the rest of a line of which the feed server has sent a part. */
-    private static final long LINE_END_TIMEOUT_MICROS = 500_000;
     /** How long a connection may stay half-closed. */
     private static final long HALF_CLOSED_TIMEOUT_MICROS = 10_000_000;
 
@@ -27,7 +26,6 @@
     private EventLoop.PendingConnect connecting;
     private Peer peer;
     private boolean established;
-    private boolean migrating;
     /** Whether the socket has accepted the complete request. */
     private boolean requestSent;
 
@@ -88,7 +86,7 @@
         established = true;
         client.onEstablished();
         peer.writeInputOf(client.peer());
-        scanner.onBytes(peer.input(), peer.input().size());
+        scanLines(peer.input().size());
         attempt.onEstablished();
         client.peer().flush();
         peer.flush();
@@ -118,14 +116,22 @@
             onAnswer();
             return;
         }
-        scanner.onBytes(peer.input(), count);
-        if (migrating) {
-            migrateAtLineEnd();
-        } else {
+        scanLines(count);
+        if (scanner.partialLineBytes() < Peer.BUFFER_LIMIT_BYTES) {
             client.peer().flush();
+        } else {
+            LOG.warning("line of feed server too long server=" + serverId());
+            attempt.onEnded(ConnectionOutcome.SERVER_ERROR);
+            migrate();
         }
     }
 
+    /** Scans the last {@code count} bytes of the input, and withholds the part of an incomplete line at its end. */
+    private void scanLines(int count) {
+        scanner.onBytes(peer.input(), count);
+        peer.input().withholdLast(scanner.partialLineBytes());
+    }
+
     @Override
     public void onEndOfInput() {
         if (!established) {
@@ -136,12 +142,10 @@
             return;
         }
         attempt.onEnded(outcomeOfLastLine(ConnectionOutcome.CLOSED_EARLY));
-        if (migrating) {
-            migrateNow();
-        } else {
-            client.peer().shutdownOutput();
-            scheduleHalfClosedTimeout();
-        }
+        // the client's direction ends in the same way, with a part of a line if that was the last
+        peer.input().withholdLast(0);
+        client.peer().shutdownOutput();
+        scheduleHalfClosedTimeout();
     }
 
     @Override
@@ -153,9 +157,7 @@
         }
         ConnectionOutcome outcome = outcomeOfLastLine(ConnectionOutcome.RESET);
         attempt.onEnded(outcome);
-        if (migrating) {
-            migrateNow();
-        } else if (outcome == ConnectionOutcome.RESET) {
+        if (outcome == ConnectionOutcome.RESET) {
             client.reset();
         } else {
             // the feed server's last line announced the end; a reset here could keep that line from the client
@@ -254,36 +256,11 @@
         }
     }
 
+    /** Sends MOVE after the lines that are complete, drops a part of a line, and closes. */
     @Override
     public void migrate() {
-        migrating = true;
-        front.relay().deadlines().schedule(front.nowMicros() + LINE_END_TIMEOUT_MICROS, this::migrateNow);
-        migrateAtLineEnd();
-    }
-
-    /**
-     * Migrates now if no part of an incomplete line has been written to the client, and drops the part in the buffer,
-     * because MOVE has to be a separate line. Otherwise continues to forward until that line ends.
-     */
-    private void migrateAtLineEnd() {
-        if (scanner.partialLineBytes() <= peer.input().size()) {
-            peer.input().dropLast(scanner.partialLineBytes());
-            scanner.dropPartialLine();
-            migrateNow();
-        } else {
-            client.peer().flush();
-        }
-    }
-
-    private void migrateNow() {
-        if (!client.peer().isClosed() && migrating) {
-            migrating = false;
-            peer.close();
-            // terminates a line that was written in part, so that MOVE is a separate line
-            client.closeAfterLastLine(
-                    scanner.partialLineBytes() > peer.input().size()
-                            ? PlatformProtocol.LINE_END + MOVE_LINE
-                            : MOVE_LINE);
-        }
+        peer.input().dropLast(scanner.partialLineBytes());
+        peer.close();
+        client.closeAfterLastLine(MOVE_LINE);
     }
 }
--- a/src/main/java/sandstack/net/Peer.java
+++ b/src/main/java/sandstack/net/Peer.java
@@ -30,7 +30,7 @@
         /** Called when {@code count} bytes have been appended to {@link Peer#input}. */
         void onBytesReceived(int count);
 
-        /** Called after each flush that leaves no buffered output. */
+        /** Called after each flush that leaves no output to write. */
         void onFlushed();
 
         /** Called when the peer has shut down its output; unconsumed bytes are still in {@link Peer#input}. */
@@ -199,9 +199,9 @@
         flush();
     }
 
-    /** The number of bytes waiting to be written. */
+    /** The number of bytes waiting to be written, without those that the output buffer withholds. */
     public int pendingBytes() {
-        return output.size();
+        return output.writableBytes();
     }
 
     /** Whether the connections of this socket's loop use more heap than they may. */
@@ -222,7 +222,7 @@
         }
         try {
             output.writeTo(outputChannel);
-            if (!output.isEmpty()) {
+            if (output.writableBytes() > 0) {
                 connection.enableIOEvent(IOEvent.WRITE);
                 return;
             }
--- a/src/main/java/sandstack/net/RingBuffer.java
+++ b/src/main/java/sandstack/net/RingBuffer.java
@@ -19,6 +19,9 @@
     private byte[] bytes = EMPTY;
     private int head;
     private int size;
+    /** The number of newest bytes that {@link #writeTo} leaves in the buffer. */
+    private int withheld;
+
     private boolean counted = true;
 
     /**
@@ -50,10 +53,23 @@
         return count;
     }
 
+    /**
+     * Makes {@link #writeTo} leave this number of the newest bytes in the buffer. To be called again after each read,
+     * as bytes that are read later are newer.
+     */
+    public void withholdLast(int count) {
+        withheld = count;
+    }
+
+    /** The number of bytes that {@link #writeTo} may write. */
+    public int writableBytes() {
+        return size - withheld;
+    }
+
     /** Writes and consumes as many bytes as the channel accepts. */
     public void writeTo(WritableByteChannel channel) throws IOException {
-        while (size > 0) {
-            int count = channel.write(ByteBuffer.wrap(bytes, head, Math.min(size, bytes.length - head)));
+        while (writableBytes() > 0) {
+            int count = channel.write(ByteBuffer.wrap(bytes, head, Math.min(writableBytes(), bytes.length - head)));
             if (count <= 0) {
                 break;
             }
@@ -167,9 +183,10 @@
         release();
     }
 
-    /** Removes the newest bytes; {@code count} is at most {@link #size}. */
+    /** Removes the newest bytes, those that were withheld first; {@code count} is at most {@link #size}. */
     public void dropLast(int count) {
         size -= count;
+        withheld = Math.max(0, withheld - count);
         release();
     }
 
