Wait at the end of a shutdown until clients have been sent their last lines

Cause: the process ended 0.15 s after the drain, whether or not the clients' sockets had accepted MOVE.

Change: FinalFlush waits until no admitted or answered client has unsent output, for 0.15 s at least, and at most until 0.2 s before the earliest SIGKILL (the longest deadline, counted as 3 s where it is longer, and 0.7 s).

FinalFlushTest has a client whose socket accepts nothing more; the wait before ended without it.

--- a/src/main/java/sandstack/core/GracefulShutdown.java
+++ b/src/main/java/sandstack/core/GracefulShutdown.java
@@ -15,9 +15,13 @@
     private static final long MIGRATION_DELAY_MICROS = 500_000;
     /**
      * Limit of the time from SIGTERM to the last migration. Between SIGTERM and SIGKILL the platform waits for the
-     * longest request deadline, but at most this long.
+     * longest request deadline, but at most this long, and for {@link #KILL_DELAY_MICROS}.
      */
     private static final long MAX_LAST_MIGRATION_MICROS = 3_000_000;
+
+    private static final long KILL_DELAY_MICROS = 700_000;
+    /** How long before SIGKILL the process ends at the latest; covers a relay that is held up for 0.15 s. */
+    private static final long EXIT_MARGIN_MICROS = 200_000;
     /**
      * Migrations happen at random times within this span, so that clients do not reconnect all at once. The span ends
      * as late as the platform allows: when relays are restarted one after another, a client that migrates early may
@@ -44,6 +48,7 @@
      */
     private long lastMigrationMicros;
 
+    private long exitDeadlineMicros;
     private IntSupplier pendingPeers = () -> 0;
     /** Called once nothing is in flight; null before the shutdown and after that call. */
     private Runnable whenDrained;
@@ -70,6 +75,11 @@
         return begun && whenDrained == null;
     }
 
+    /** When the process has to end at the latest, before the platform kills it; 0 before the shutdown begins. */
+    long exitDeadlineMicros() {
+        return exitDeadlineMicros;
+    }
+
     /** The answer to a request that arrives once the shutdown is complete. */
     Rejection rejectionAfterDrain() {
         return new Rejection(Rejection.Kind.REJECTED, random.nextLong(MAX_RETRY_AFTER_MILLIS) + 1);
@@ -90,10 +100,10 @@
         LOG.info("graceful shutdown started count=" + requests.clients().size());
         whenDrained = callback;
         startedAtMicros = clock.getAsLong();
-        lastMigrationMicros = startedAtMicros
-                + Math.max(
-                        MIGRATION_DELAY_MICROS + FINAL_ANSWER_DELAY_MICROS,
-                        Math.min(settings.longestDeadlineMicros(), MAX_LAST_MIGRATION_MICROS));
+        long longestWaitMicros = Math.min(settings.longestDeadlineMicros(), MAX_LAST_MIGRATION_MICROS);
+        lastMigrationMicros =
+                startedAtMicros + Math.max(MIGRATION_DELAY_MICROS + FINAL_ANSWER_DELAY_MICROS, longestWaitMicros);
+        exitDeadlineMicros = startedAtMicros + longestWaitMicros + KILL_DELAY_MICROS - EXIT_MARGIN_MICROS;
         requests.clients().forEach(this::scheduleMigration);
         // ensures a turn at that time: a relay without clients stays up until then for those the platform still sends
         deadlines.schedule(startedAtMicros + MIGRATION_DELAY_MICROS, () -> {});
--- a/src/main/java/sandstack/core/Relay.java
+++ b/src/main/java/sandstack/core/Relay.java
@@ -226,6 +226,11 @@
         return shutdown.hasBegun();
     }
 
+    /** When the process has to end after {@link #drain}, at the latest; 0 before. */
+    public long exitDeadlineMicros() {
+        return shutdown.exitDeadlineMicros();
+    }
+
     /** The scheduler whose expired tasks each turn runs. */
     public DeadlineScheduler deadlines() {
         return deadlines;
--- a/src/main/java/sandstack/net/ConnectionAdmission.java
+++ b/src/main/java/sandstack/net/ConnectionAdmission.java
@@ -203,6 +203,13 @@
         return pending.size();
     }
 
+    /** The number of admitted and lingering peers whose socket has not accepted all output yet. */
+    int peersWithUnsentOutput() {
+        return (int) Stream.concat(admitted.keySet().stream(), lingering.keySet().stream())
+                .filter(peer -> peer.pendingBytes() > 0)
+                .count();
+    }
+
     /** The number of descriptors counted for clients and feed servers; each admitted peer counts as two. */
     public int descriptorsInUse() {
         return pending.size() + lingering.size() + DESCRIPTORS_PER_ADMITTED * admitted.size();
--- a/src/main/java/sandstack/service/RelayService.java
+++ b/src/main/java/sandstack/service/RelayService.java
@@ -32,6 +32,7 @@
 import sandstack.net.ConnectionAdmission;
 import sandstack.net.DescriptorBudget;
 import sandstack.net.EventLoop;
+import sandstack.net.FinalFlush;
 import sandstack.net.HeapBudget;
 import sandstack.staleness.EndpointListStaleness;
 import sun.misc.Signal;
@@ -46,9 +47,6 @@
      * Descriptors reserved for other uses than client and feed server sockets: listeners, selector, discovery, files.
      */
     private static final int OTHER_DESCRIPTORS = 48;
-    /** How long the process waits for the last answers to be written after the drain. */
-    private static final long FINAL_FLUSH_MICROS = 150_000;
-
     /** Version of the empty list before any update has been received. */
     private static final long NO_VERSION = -1;
 
@@ -283,7 +281,8 @@
         });
         ServiceLifecycle.await(drained);
         CountDownLatch flushed = new CountDownLatch(1);
-        loop.execute(() -> relay.deadlines().schedule(loop.nowMicros() + FINAL_FLUSH_MICROS, flushed::countDown));
+        loop.execute(() -> new FinalFlush(loop, relay.deadlines(), admission)
+                .begin(relay.exitDeadlineMicros(), flushed::countDown));
         ServiceLifecycle.await(flushed);
         if (handover != null) {
             handover.close();
