Send MOVE at a shutdown to clients that have ended their direction and still receive

Cause: the end of the client's direction ends its request, so that the registry has no client to migrate, and the process ends with the connection open.

Change: when no request is in flight any more, ConnectionAdmission also ends what is left of the admitted peers, and the line front migrates those whose feed server has not ended.

ShutdownWithPartialLinesTest.clientsThatHaveEndedTheirDirectionGetMoveToo failed before and passes now.

--- a/src/main/java/sandstack/front/platform/PlatformClientSession.java
+++ b/src/main/java/sandstack/front/platform/PlatformClientSession.java
@@ -117,6 +117,13 @@
         sendRejection(ConnectionAdmission.NO_CAPACITY);
     }
 
+    @Override
+    public void onShutdown() {
+        if (state == State.ESTABLISHED) {
+            upstream.migrateHalfClosed();
+        }
+    }
+
     @Override
     public void onClosed() {
         releaseRequestId();
--- a/src/main/java/sandstack/front/platform/UpstreamConnection.java
+++ b/src/main/java/sandstack/front/platform/UpstreamConnection.java
@@ -244,6 +244,13 @@
         client.peer().close();
     }
 
+    /** Migrates a client that has ended its direction and still receives; no effect if the feed server has ended. */
+    void migrateHalfClosed() {
+        if (!peer.isInputEnded() && !peer.isClosed()) {
+            migrate();
+        }
+    }
+
     // Called by the relay core
 
     @Override
--- a/src/main/java/sandstack/net/ConnectionAdmission.java
+++ b/src/main/java/sandstack/net/ConnectionAdmission.java
@@ -53,6 +53,12 @@
             reject();
         }
 
+        /**
+         * Called at the end of a graceful shutdown, when the request has ended and the connection has not. A session
+         * whose client still receives migrates it.
+         */
+        default void onShutdown() {}
+
         /** Called once when the relay closes the socket, for any reason. */
         default void onClosed() {}
     }
@@ -126,9 +132,13 @@
         addIdleHeap(peer, 1);
     }
 
-    /** Treats every pending peer as one whose request did not arrive in time. */
-    public void stopWaitingForRequests() {
+    /**
+     * Called when no request is in flight at the end of a graceful shutdown: treats every pending peer as one whose
+     * request did not arrive in time, and migrates admitted peers that still receive.
+     */
+    public void endRemaining() {
         List.copyOf(pending.keySet()).forEach(this::onRequestTimeout);
+        List.copyOf(admitted.values()).forEach(AcceptedPeer::onShutdown);
     }
 
     /**
--- a/src/main/java/sandstack/service/RelayService.java
+++ b/src/main/java/sandstack/service/RelayService.java
@@ -275,7 +275,7 @@
                 clientListener.pauseAccepting();
             }
             relay.drain(admission::peersWithoutRequest, () -> {
-                admission.stopWaitingForRequests();
+                admission.endRemaining();
                 drained.countDown();
             });
         });
--- a/src/test/java/sandstack/ShutdownWithPartialLinesTest.java
+++ b/src/test/java/sandstack/ShutdownWithPartialLinesTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -135,23 +136,28 @@
                         .replace("127.0.0.1:3102", "127.0.0.1:" + startFeedServer(pauseMillis)));
     }
 
-    /** The pause between two parts: shorter and longer than the time in which the relay ends. */
-    @ParameterizedTest
-    @ValueSource(longs = {450, 900, 10_000})
-    void eachClientGetsWholeLinesAndMove(long pauseMillis) throws Exception {
+    /** Starts a relay with feed servers that pause for this time between two parts of a line. */
+    private Process startRelay(long pauseMillis) throws Exception {
         launcher = new RelayLauncher(folder);
-        Process relay = launcher.start("", "relay", config(pauseMillis));
+        return launcher.start("", "relay", config(pauseMillis));
+    }
+
+    private List<ReadingClient> establishClients() throws Exception {
         int port = launcher.port("relay");
         List<ReadingClient> clients = new ArrayList<>();
         for (int i = 0; i < CLIENTS; i++) {
             ReadingClient client = new ReadingClient(port, i);
-            String up = "";
-            while (!up.endsWith("\r\n")) {
-                up += (char) client.socket.getInputStream().read();
+            StringBuilder answer = new StringBuilder();
+            while (answer.indexOf("\r\n") < 0) {
+                answer.append((char) client.socket.getInputStream().read());
             }
-            assertThat(up).isEqualTo("UP id" + i + "\r\n");
+            assertThat(answer).hasToString("UP id" + i + "\r\n");
             clients.add(client);
         }
+        return clients;
+    }
+
+    private void assertWholeLinesAndMove(Process relay, List<ReadingClient> clients) throws Exception {
         relay.destroy();
         for (ReadingClient client : clients) {
             client.readToEnd();
@@ -166,4 +172,23 @@
                             .toList());
         }
     }
+
+    /** The pause between two parts: shorter and longer than the time in which the relay ends. */
+    @ParameterizedTest
+    @ValueSource(longs = {450, 900, 10_000})
+    void eachClientGetsWholeLinesAndMove(long pauseMillis) throws Exception {
+        Process relay = startRelay(pauseMillis);
+        assertWholeLinesAndMove(relay, establishClients());
+    }
+
+    /** The request of such a client has ended, so that no migration is scheduled for it. */
+    @Test
+    void clientsThatHaveEndedTheirDirectionGetMoveToo() throws Exception {
+        Process relay = startRelay(200);
+        List<ReadingClient> clients = establishClients();
+        for (ReadingClient client : clients) {
+            client.socket.shutdownOutput();
+        }
+        assertWholeLinesAndMove(relay, clients);
+    }
 }
--- a/src/test/java/sandstack/front/platform/ConcurrentEventsTest.java
+++ b/src/test/java/sandstack/front/platform/ConcurrentEventsTest.java
@@ -283,7 +283,7 @@
         pausableRelay.onLoop(() -> {});
         CompletableFuture<Void> drained = new CompletableFuture<>();
         pausableRelay.loop.execute(() -> pausableRelay.relay.drain(pausableRelay.admission::peersWithoutRequest, () -> {
-            pausableRelay.admission.stopWaitingForRequests();
+            pausableRelay.admission.endRemaining();
             drained.complete(null);
         }));
         drained.get(20, TimeUnit.SECONDS);
