Read the rest of a line while the heap is short, and look for idle clients only then

Callers would see: with the heap budget exceeded, a connection whose feed server was in the middle of a line stood still.

Change: the buffer waits only for bytes that may be written. The buffers of a socket and this rule are a class of their own, PeerBuffers. ConnectionAdmission compares clients only once the budget is exceeded; before, each accepted connection went through all pending ones.

--- a/src/main/java/sandstack/net/ConnectionAdmission.java
+++ b/src/main/java/sandstack/net/ConnectionAdmission.java
@@ -165,14 +165,10 @@
         }
         return Stream.concat(pending.keySet().stream(), lingering.keySet().stream())
                 .filter(peer -> peer != except)
-                .mapToLong(ConnectionAdmission::heapBytes)
+                .mapToLong(Peer::heapBytes)
                 .sum();
     }
 
-    private static long heapBytes(Peer peer) {
-        return peer.idleHeapBytes() + peer.bufferHeapBytes();
-    }
-
     /**
      * Called when the peer has got its final answer. Its socket is closed after the linger time unless the peer closes
      * the connection before.
@@ -243,12 +239,8 @@
     /** Closes the pending and lingering peers that hold the most until the heap budget suffices. */
     private void freeHeap() {
         int closed = 0;
-        for (Peer peer = largestReclaimable(); heap.isExceeded() && peer != null; peer = largestReclaimable()) {
-            if (lingering.containsKey(peer)) {
-                peer.close();
-            } else {
-                rejectWithoutRequest(peer);
-            }
+        while (heap.isExceeded() && !(pending.isEmpty() && lingering.isEmpty())) {
+            closeWithoutRequestInFlight(largestReclaimable());
             closed++;
         }
         if (closed > 0) {
@@ -258,8 +250,16 @@
 
     private Peer largestReclaimable() {
         return Stream.concat(lingering.keySet().stream(), pending.keySet().stream())
-                .max(Comparator.comparingLong(ConnectionAdmission::heapBytes))
-                .orElse(null);
+                .max(Comparator.comparingLong(Peer::heapBytes))
+                .orElseThrow();
+    }
+
+    private void closeWithoutRequestInFlight(Peer peer) {
+        if (lingering.containsKey(peer)) {
+            peer.close();
+        } else {
+            rejectWithoutRequest(peer);
+        }
     }
 
     private void rejectWithoutRequest(Peer peer) {
--- a/src/main/java/sandstack/net/Peer.java
+++ b/src/main/java/sandstack/net/Peer.java
@@ -44,10 +44,7 @@
     private final SocketChannel channel;
     private final WritableByteChannel outputChannel;
     private final EventLoop loop;
-    private final RingBuffer input;
-    private RingBuffer output;
-    /** Whether the input buffer is the output buffer of another socket. */
-    private boolean inputShared;
+    private final PeerBuffers buffers;
     /** Heap that this socket and its protocol's state use, without the buffers. */
     private long idleHeapBytes = DescriptorBudget.SOCKET_BYTES;
 
@@ -67,8 +64,7 @@
         this.channel = (SocketChannel) this.connection.getChannel();
         this.outputChannel = loop.outputChannel(channel);
         this.loop = loop;
-        input = new RingBuffer(BUFFER_LIMIT_BYTES, loop.heapBudget());
-        output = new RingBuffer(BUFFER_LIMIT_BYTES, loop.heapBudget());
+        buffers = new PeerBuffers(BUFFER_LIMIT_BYTES, loop.heapBudget());
         PEER_OF_CONNECTION.set(connection, this);
     }
 
@@ -94,9 +90,9 @@
         return idleHeapBytes;
     }
 
-    /** The heap that this socket's buffers use, in bytes. */
-    long bufferHeapBytes() {
-        return (long) input.allocatedBytes() + output.allocatedBytes();
+    /** The heap that this socket uses with its buffers, in bytes. */
+    long heapBytes() {
+        return idleHeapBytes + buffers.heapBytes();
     }
 
     /** Sets the admission that is notified when this socket is closed. */
@@ -107,22 +103,24 @@
     /** Drops buffered input, and from now on reads and drops all input that arrives. */
     public void discardInput() {
         discardingInput = true;
-        input.skip(input.size());
+        input().skip(input().size());
         resumeReading();
     }
 
     /** The received bytes that have not been consumed. */
     public RingBuffer input() {
-        return input;
+        return buffers.input();
+    }
+
+    private RingBuffer output() {
+        return buffers.output();
     }
 
     /**
      * Uses another socket's input buffer as output buffer, so that bytes received there are sent here without a copy.
      */
     public void writeInputOf(Peer other) {
-        output.stopCounting();
-        output = other.input;
-        other.inputShared = true;
+        buffers.writeInputOf(other.buffers);
     }
 
     /** Reads the available input, up to the capacity of the buffer. */
@@ -134,8 +132,8 @@
         boolean failed = false;
         try {
             int count = 1;
-            while (count > 0 && !discardingInput && hasInputCapacity()) {
-                count = input.readFrom(channel);
+            while (count > 0 && !discardingInput && buffers.hasInputCapacity()) {
+                count = input().readFrom(channel);
                 received += Math.max(0, count);
             }
             if (discardingInput) {
@@ -162,16 +160,6 @@
         loop.heapBudget().enforce();
     }
 
-    /**
-     * Whether the input buffer takes more bytes. While the heap budget is exceeded, a buffer that another socket writes
-     * takes more only once it has been written.
-     */
-    private boolean hasInputCapacity() {
-        boolean waitsForWrite =
-                inputShared && !input.isEmpty() && loop.heapBudget().isExceeded();
-        return input.remainingCapacity() > 0 && !waitsForWrite;
-    }
-
     /**
      * Reads the available input without waiting for the next select, so that a decision about this peer also considers
      * input that arrived after the last select.
@@ -189,19 +177,19 @@
 
     /** Appends a message of the relay in ISO 8859-1 to the output, and writes what the socket accepts. */
     public void send(String text) {
-        output.append(text);
+        output().append(text);
         flush();
     }
 
     /** Appends a message of the relay to the output, and writes what the socket accepts. */
     public void send(byte[] bytes) {
-        output.append(bytes, 0, bytes.length);
+        output().append(bytes, 0, bytes.length);
         flush();
     }
 
     /** The number of bytes waiting to be written, without those that the output buffer withholds. */
     public int pendingBytes() {
-        return output.writableBytes();
+        return output().writableBytes();
     }
 
     /** Whether the connections of this socket's loop use more heap than they may. */
@@ -221,8 +209,8 @@
             return;
         }
         try {
-            output.writeTo(outputChannel);
-            if (output.writableBytes() > 0) {
+            output().writeTo(outputChannel);
+            if (output().writableBytes() > 0) {
                 connection.enableIOEvent(IOEvent.WRITE);
                 return;
             }
@@ -248,7 +236,7 @@
     }
 
     private void updateReadInterest() {
-        boolean wanted = !inputEnded && !readingPaused && hasInputCapacity();
+        boolean wanted = !inputEnded && !readingPaused && buffers.hasInputCapacity();
         if (closed || wanted == readInterestSet) {
             return;
         }
@@ -292,10 +280,7 @@
         if (!closed) {
             closed = true;
             connection.terminateSilently();
-            output.stopCounting();
-            if (!inputShared) {
-                input.stopCounting();
-            }
+            buffers.stopCounting();
             if (admission != null) {
                 admission.onClosed(this);
             }
--- a/src/test/java/sandstack/front/platform/HeapBudgetTest.java
+++ b/src/test/java/sandstack/front/platform/HeapBudgetTest.java
@@ -98,4 +98,17 @@
         assertThat(relay.noUpstreamRequest()).isTrue();
         assertForwards(established);
     }
+
+    /** A part of a line stays in the buffer until the rest arrives, also while that is the only way to free it. */
+    @Test
+    void theRestOfALineIsReadWhileTheHeapIsShort() throws Exception {
+        RemoteEnd client = establishedClient();
+        setLimit(0);
+        client.upstreamEnd.send("a whole");
+        relay.awaitOnLoop(() -> relay.loop.heapBudget().isExceeded());
+        relay.onLoop(() -> {});
+        client.upstreamEnd.send(" line\r\nand another\r\n");
+        assertThat(client.readLine()).isEqualTo("a whole line");
+        assertThat(client.readLine()).isEqualTo("and another");
+    }
 }
