--- a/src/main/java/sandstack/front/amqp/AmqpClientSession.java
+++ b/src/main/java/sandstack/front/amqp/AmqpClientSession.java
@@ -95,7 +95,7 @@
     private void onAttached(Link<?> newLink) {
         if (link != null) {
             // one connection carries one request, so further links are rejected
-            detach(newLink, new ErrorCondition(AmqpError.NOT_ALLOWED, "one link a connection"));
+            amqpConnection.detach(newLink, new ErrorCondition(AmqpError.NOT_ALLOWED, "one link a connection"));
             return;
         }
         link = newLink;
@@ -280,26 +280,7 @@
 
     private void closeLink(ErrorCondition error) {
         if (link != null) {
-            detach(link, error);
+            amqpConnection.detach(link, error);
         }
     }
-
-    /**
-     * Detaches a link. A link that has not been attached is attached first, without termini: AMQP rejects a link by an
-     * attach without termini and a detach with the error.
-     */
-    private void detach(Link<?> target, ErrorCondition error) {
-        if (!protonConnection.isLocallyOpen() || protonConnection.isRemotelyClosed()) {
-            return;
-        }
-        amqpConnection.runGuarded(() -> {
-            if (!target.isLocallyOpen() && !target.isLocallyClosed()) {
-                target.open();
-            }
-            if (target.isLocallyOpen()) {
-                target.setCondition(error);
-                target.close();
-            }
-        });
-    }
 }
--- a/src/main/java/sandstack/front/amqp/AmqpConnection.java
+++ b/src/main/java/sandstack/front/amqp/AmqpConnection.java
@@ -5,6 +5,7 @@
 import org.apache.qpid.protonj2.engine.Connection;
 import org.apache.qpid.protonj2.engine.Engine;
 import org.apache.qpid.protonj2.engine.EngineFactory;
+import org.apache.qpid.protonj2.engine.Link;
 import org.apache.qpid.protonj2.engine.exceptions.EngineStateException;
 import org.apache.qpid.protonj2.engine.exceptions.IdleTimeoutException;
 import org.apache.qpid.protonj2.types.transport.ErrorCondition;
@@ -25,9 +26,6 @@
     /** Unsent bytes above which nothing more is forwarded to this connection. */
     private static final int MAX_PENDING_BYTES = 64 * 1024;
 
-    private static final int PROTOCOL_ID_INDEX = 4;
-    private static final int SASL_PROTOCOL_ID = 3;
-
     private static final int MICROS_PER_MILLI = 1000;
 
     /** Receives the events of the connection. Performatives go to the handlers that {@link #onEngineStarted} sets. */
@@ -104,7 +102,7 @@
             if (peer.input().size() < FrameScanner.PROTOCOL_HEADER_BYTES) {
                 return;
             }
-            startAccepted();
+            start(AcceptedEngine.forHeader(peer.input()));
             ingest(FrameScanner.PROTOCOL_HEADER_BYTES);
         }
         ingestFrames();
@@ -154,16 +152,6 @@
         return peer.pendingBytes() > (peer.isHeapShort() ? 0 : MAX_PENDING_BYTES);
     }
 
-    /** Starts the engine that the client's protocol header asks for. */
-    private void startAccepted() {
-        boolean sasl = peer.input().byteAt(PROTOCOL_ID_INDEX) == SASL_PROTOCOL_ID;
-        Engine newEngine = sasl ? EngineFactory.PROTON.createEngine() : EngineFactory.PROTON.createNonSaslEngine();
-        if (sasl) {
-            newEngine.saslDriver().server().setListener(new AnonymousSaslListener());
-        }
-        start(newEngine);
-    }
-
     private void ingest(int count) {
         byte[] bytes =
                 peer.input().take(engine.isWritable() ? count : peer.input().size());
@@ -217,6 +205,27 @@
         closeAfterLinger();
     }
 
+    /**
+     * Detaches a link. A link that has not been attached is attached first, without termini: AMQP rejects a link by an
+     * attach without termini and a detach with the error. No effect if the connection is not open.
+     *
+     * @param error null for none
+     */
+    void detach(Link<?> link, ErrorCondition error) {
+        if (!engine.connection().isLocallyOpen() || engine.connection().isRemotelyClosed()) {
+            return;
+        }
+        runGuarded(() -> {
+            if (!link.isLocallyOpen() && !link.isLocallyClosed()) {
+                link.open();
+            }
+            if (link.isLocallyOpen()) {
+                link.setCondition(error);
+                link.close();
+            }
+        });
+    }
+
     /** Closes the socket at once, without a close performative. */
     void closeAbruptly() {
         notifyEnded(null);
--- a/src/test/java/sandstack/ShutdownWithPartialLinesTest.java
+++ b/src/test/java/sandstack/ShutdownWithPartialLinesTest.java
@@ -107,6 +107,7 @@
         }
     }
 
+    /** What a thread does with sockets until one is closed. */
     private interface SocketTask {
         void run() throws IOException, InterruptedException;
     }
