--- a/review/src-2/AmqpPeer.java
+++ b/review/src-2/AmqpPeer.java
@@ -1,5 +1,6 @@
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -66,6 +67,19 @@
 
     void startReading() {
         Kit.go(this::read);
+        Kit.go(this::keepAlive);
+    }
+
+    /** Sends an empty frame whenever the other side's idle timeout requires one. */
+    private void keepAlive() {
+        while (!ended) {
+            Kit.sleep(500);
+            synchronized (this) {
+                if (engine.isWritable() && connection.isLocallyOpen() && !connection.isLocallyClosed()) {
+                    engine.tick(System.nanoTime() / 1_000_000);
+                }
+            }
+        }
     }
 
     private void write(ProtonBuffer buffer) {
@@ -283,14 +297,17 @@
         volatile boolean sendsOutcomes = true;
         volatile Consumer<AmqpPeer> onConnected = peer -> {};
 
-        Server(Kit kit, String uid, int receiveBufferBytes) throws IOException {
+        Server(Kit kit, String uid) throws IOException {
+            this(kit, uid, 0);
+        }
+
+        /** Starts a feed server at this port; 0 lets the operating system choose one. */
+        Server(Kit kit, String uid, int port) throws IOException {
             this.kit = kit;
             this.uid = uid;
             server = new ServerSocket();
-            if (receiveBufferBytes > 0) {
-                server.setReceiveBufferSize(receiveBufferBytes);
-            }
-            server.bind(new java.net.InetSocketAddress(Kit.HOST, 0), 1024);
+            server.setReuseAddress(true);
+            server.bind(new InetSocketAddress(Kit.HOST, port), 1024);
             Kit.go(this::accept);
         }
 
--- a/review/src-2/ReusedTag.java
+++ b/review/src-2/ReusedTag.java
@@ -12,8 +12,8 @@
     }
 
     private static boolean run(Kit kit) throws Exception {
-        AmqpPeer.Server one = new AmqpPeer.Server(kit, "feed-1", 0);
-        AmqpPeer.Server two = new AmqpPeer.Server(kit, "feed-2", 0);
+        AmqpPeer.Server one = new AmqpPeer.Server(kit, "feed-1");
+        AmqpPeer.Server two = new AmqpPeer.Server(kit, "feed-2");
         Discovery discovery = new Discovery(kit);
         discovery.put("feed-1", one.port(), "ready");
         int listen = Kit.freePort();
--- a/review/src-2/RunTwice.java
+++ b/review/src-2/RunTwice.java
@@ -14,7 +14,7 @@
     }
 
     private static boolean run(Kit kit) throws Exception {
-        AmqpPeer.Server feedServer = new AmqpPeer.Server(kit, "feed-1", 0);
+        AmqpPeer.Server feedServer = new AmqpPeer.Server(kit, "feed-1");
         Discovery discovery = new Discovery(kit);
         discovery.put("feed-1", feedServer.port(), "ready");
         int listen = Kit.freePort();
