--- a/review/src-2/AmqpPeer.java
+++ b/review/src-2/AmqpPeer.java
@@ -29,9 +29,7 @@
 import org.apache.qpid.protonj2.types.messaging.Source;
 import org.apache.qpid.protonj2.types.messaging.Target;
 import org.apache.qpid.protonj2.types.transport.Attach;
-import org.apache.qpid.protonj2.types.transport.ConnectionError;
 import org.apache.qpid.protonj2.types.transport.DeliveryState;
-import org.apache.qpid.protonj2.types.transport.ErrorCondition;
 
 /** One side of an AMQP 1.0 connection on a blocking socket: the engine of the project's AMQP library, and a reader. */
 final class AmqpPeer {
@@ -43,8 +41,6 @@
     volatile boolean ended;
     /** The error with which the other side has closed the connection; "none" for a close without an error. */
     volatile String remoteClose;
-    /** Milliseconds to wait before each read of the socket. */
-    volatile long readPauseMillis;
 
     AmqpPeer(Kit kit, String label, Socket socket, Consumer<AmqpPeer> handlers) throws IOException {
         this.kit = kit;
@@ -97,7 +93,6 @@
             InputStream in = socket.getInputStream();
             byte[] bytes = new byte[16 * 1024];
             while (true) {
-                Kit.sleep(readPauseMillis);
                 int count = in.read(bytes);
                 if (count < 0) {
                     break;
@@ -125,16 +120,6 @@
         }
     }
 
-    /** Closes the socket with a reset, as at the end of a process that is killed. */
-    void reset() {
-        try {
-            socket.setSoLinger(true, 0);
-        } catch (IOException e) {
-            // the close ends the connection all the same
-        }
-        close();
-    }
-
     synchronized void run(Runnable task) {
         task.run();
     }
@@ -216,18 +201,6 @@
             }
         }
 
-        /** Sends one settled delivery, for which no outcome comes back. */
-        void sendSettled(byte tag, String text) {
-            peer.run(() -> {
-                OutgoingDelivery delivery = sender.next();
-                delivery.setTag(new byte[] {tag});
-                delivery.setMessageFormat(0);
-                delivery.settle();
-                delivery.writeBytes(message(text));
-            });
-            peer.kit.log(peer.label + ": sent " + text + " settled, under tag " + tag);
-        }
-
         /** Sends one delivery with the given tag; returns its state at the receiver, or null after the wait. */
         String send(byte tag, String text, long waitMillis) {
             OutgoingDelivery[] sent = new OutgoingDelivery[1];
@@ -291,11 +264,9 @@
         final String uid;
         final ServerSocket server;
         final List<String> messages = new CopyOnWriteArrayList<>();
-        final List<AmqpPeer> peers = new CopyOnWriteArrayList<>();
-        volatile int credit = 100;
+        private static final int CREDIT = 100;
         /** Whether the outcome of a delivery is sent; a feed server may still be busy with it. */
         volatile boolean sendsOutcomes = true;
-        volatile Consumer<AmqpPeer> onConnected = peer -> {};
 
         Server(Kit kit, String uid) throws IOException {
             this(kit, uid, 0);
@@ -320,8 +291,6 @@
                 while (true) {
                     Socket socket = server.accept();
                     AmqpPeer peer = new AmqpPeer(kit, uid, socket, this::handle);
-                    peers.add(peer);
-                    onConnected.accept(peer);
                     peer.startReading();
                 }
             } catch (IOException e) {
@@ -346,7 +315,7 @@
                 receiver.closeHandler(r -> r.close());
                 receiver.detachHandler(r -> r.detach());
                 receiver.open();
-                receiver.addCredit(credit);
+                receiver.addCredit(CREDIT);
             });
         }
 
@@ -374,21 +343,8 @@
                 delivery.settle();
             }
             Receiver receiver = delivery.getLink();
-            if (receiver.getCredit() < credit / 2) {
-                receiver.addCredit(credit - receiver.getCredit());
-            }
-        }
-
-        /** Sends all clients away, as a draining feed server does. */
-        void drain() {
-            kit.log(uid + ": drains, and closes all connections with amqp:connection:forced");
-            for (AmqpPeer peer : peers) {
-                peer.run(() -> {
-                    if (!peer.ended && peer.engine.isWritable()) {
-                        peer.connection.setCondition(new ErrorCondition(ConnectionError.CONNECTION_FORCED, "draining"));
-                        peer.connection.close();
-                    }
-                });
+            if (receiver.getCredit() < CREDIT / 2) {
+                receiver.addCredit(CREDIT - receiver.getCredit());
             }
         }
     }
--- a/review/src-2/FeedServer.java
+++ b/review/src-2/FeedServer.java
@@ -43,8 +43,6 @@
     private final Kit kit;
     private final ServerSocket server;
     final List<Connection> connections = new CopyOnWriteArrayList<>();
-    /** How long the set-up of a connection takes. */
-    volatile long setupMillis;
     /** Whether it turns new connections away, as a draining feed server does. */
     volatile boolean draining;
     /** Called with each request as it arrives. */
@@ -90,7 +88,6 @@
                 return;
             }
             connections.add(connection);
-            Kit.sleep(setupMillis);
             connection.up = true;
             connection.send("UP " + uid + "-" + connection.id);
             kit.log(uid + ": answered UP to " + connection.id);
@@ -123,16 +120,6 @@
         }
     }
 
-    /** Ends the process: its connections are closed, and new ones refused. */
-    void end() throws IOException {
-        kit.log(uid + ": the process ends with " + connections.size() + " connections");
-        server.close();
-        for (Connection connection : connections) {
-            connection.ended = true;
-            connection.close();
-        }
-    }
-
     static String readLine(InputStream in) throws IOException {
         StringBuilder line = new StringBuilder();
         for (int c = in.read(); c >= 0; c = in.read()) {
--- a/review/src-2/Kit.java
+++ b/review/src-2/Kit.java
@@ -8,7 +8,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.FileVisitOption;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -86,7 +85,7 @@
                 Thread.currentThread().interrupt();
             }
         }
-        try (Stream<Path> files = Files.walk(temporary, new FileVisitOption[0])) {
+        try (Stream<Path> files = Files.walk(temporary)) {
             files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
         } catch (IOException e) {
             // the folder is temporary
@@ -133,10 +132,6 @@
         return socket;
     }
 
-    Path temporary() {
-        return temporary;
-    }
-
     /** The value of a key of deploy/balancer.toml, without its quotes. */
     private String deployCommand(String key) throws IOException {
         for (String line : Files.readAllLines(root.resolve("deploy/balancer.toml"))) {
@@ -153,25 +148,11 @@
      * way to switch the AMQP front on.
      */
     Path rootWithAmqp(int amqpPort) throws IOException {
-        return rootWith(
-                "root", "amqp.toml", "enabled = true\nlisten = \"" + HOST + ":" + amqpPort + "\"\n");
-    }
-
-    /** A folder like that of {@link #rootWithAmqp}, with another deploy/fleet.toml. */
-    Path rootWithFleet(String folder, int port, int[] memberPorts) throws IOException {
-        StringBuilder members = new StringBuilder();
-        for (int member : memberPorts) {
-            members.append(members.isEmpty() ? "" : ", ").append('"').append(HOST).append(':').append(member).append('"');
-        }
-        return rootWith(
-                folder,
-                "fleet.toml",
-                "enabled = true\ninstallation = \"review\"\nlisten = \"" + HOST + ":" + port + "\"\nmembers = ["
-                        + members + "]\n");
+        return rootWith("amqp.toml", "enabled = true\nlisten = \"" + HOST + ":" + amqpPort + "\"\n");
     }
 
-    private Path rootWith(String name, String deployFile, String content) throws IOException {
-        Path folder = temporary.resolve(name);
+    private Path rootWith(String deployFile, String content) throws IOException {
+        Path folder = temporary.resolve("root");
         Files.createDirectories(folder.resolve("deploy"));
         try (Stream<Path> files = Files.list(root.resolve("deploy"))) {
             for (Path file : files.filter(Files::isRegularFile).toList()) {
@@ -186,18 +167,7 @@
     /** Starts a relay with the deploy file's command and returns its process, whose id is the relay's. */
     Process startRelay(String label, Path workingFolder, Map<String, String> environment, ProcessBuilder.Redirect input)
             throws IOException {
-        return startRelay(label, workingFolder, environment, input, "");
-    }
-
-    /** Starts a relay with the deploy file's command and more options. */
-    Process startRelay(
-            String label,
-            Path workingFolder,
-            Map<String, String> environment,
-            ProcessBuilder.Redirect input,
-            String options)
-            throws IOException {
-        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", deployCommand("run") + options);
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", deployCommand("run"));
         builder.directory((workingFolder == null ? root : workingFolder).toFile());
         builder.redirectErrorStream(true);
         if (input != null) {
@@ -210,17 +180,11 @@
         builder.environment().putAll(environment);
         Process process = builder.start();
         processes.add(process);
-        log(label + ": started with the run command of the deploy file" + (options.isEmpty() ? "" : " and" + options));
+        log(label + ": started with the run command of the deploy file");
         go(() -> copyLog(label, process.getInputStream()));
         return process;
     }
 
-    /** Adds a process that ends with the case. */
-    Process track(Process process) {
-        processes.add(process);
-        return process;
-    }
-
     void copyLog(String label, InputStream stream) {
         try (BufferedReader in = new BufferedReader(new InputStreamReader(stream, StandardCharsets.UTF_8))) {
             for (String line = in.readLine(); line != null; line = in.readLine()) {
@@ -231,9 +195,10 @@
         }
     }
 
-    void signal(String label, Process process, String name) throws Exception {
-        log(label + ": SIG" + name);
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    /** Sends SIGTERM, as the platform does at a planned restart. */
+    void terminate(String label, Process process) {
+        log(label + ": SIGTERM");
+        process.destroy();
     }
 
     /** Waits until the relay answers PING with PONG. */
--- a/review/src-2/StaleUpgrade.java
+++ b/review/src-2/StaleUpgrade.java
@@ -65,7 +65,7 @@
             discovery.change(server.uid, "draining");
         }
         long yesAt = awaitYes(kit, "new process", newOperator);
-        kit.signal("old process", old, "TERM");
+        kit.terminate("old process", old);
         long bindsAt = Math.max(toldAt, yesAt + BINDS_AFTER_YES_MILLIS) + DRAIN_GRACE_MILLIS;
         kit.log("the drains bind from " + bindsAt + " ms on, the grace included");
         long until = bindsAt + 4000;
